--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,7 +9,7 @@
 	"io"
 	"os"
 
-	"sedgetrail/internal/wire"
+	"aniseloft/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"sedgetrail/decide"
+	"aniseloft/decide"
 )
 
 // One gateway, one engine: a query arrives, is placed and is served.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"sedgetrail/decide"
+	"aniseloft/decide"
 )
 
 // params are the settings as the wire gives them; unknown keys are ignored.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"math"
 
-	"sedgetrail/decide"
+	"aniseloft/decide"
 )
 
 // Host keeps the instances of one process; they share nothing but the lists.
