--- /dev/null
+++ b/cmd/aniseloft/main.go
@@ -0,0 +1,10 @@
+// Command aniseloft is one coordinator; LB_CONFIG names its configuration.
+package main
+
+import (
+	"os"
+
+	"aniseloft/internal/program"
+)
+
+func main() { os.Exit(program.Run(os.Stderr)) }
--- a/decide/api.go
+++ b/decide/api.go
@@ -42,6 +42,7 @@
 
 // Class describes one class of requests.
 type Class struct {
+	Name          string // for those who carry requests; decides nothing
 	Aim, Deadline Millis
 	AimStretch    float64 // the aim grows by this times work over threads
 	Worth         float64
@@ -108,6 +109,13 @@
 	MemoryShort    MemoryShort
 	MostGrant      float64
 	OverShareWorth float64
+	KindNames      []string // by their place
+	Zones          []string // names, by their place; Zone is this gateway's own
+	Zone           int
+	ConnectTimeout Millis   // a connection that takes longer has failed
+	ConnIdle       Millis   // engines close connections idle for so long
+	MaxOpen        int      // the requests that a gateway may have open; 0: not told
+	ReportFields   []string // the names in a report of load
 }
 
 // EngineState is what the list says of an engine.
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,150 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"aniseloft/internal/routing"
+	"aniseloft/internal/transport"
+)
+
+// Phase is where the program stands between start and exit.
+type Phase int32
+
+// The phases, in their order.
+const (
+	Starting Phase = iota
+	Serving
+	Draining
+	Stopped
+)
+
+// String names the phase as the log does.
+func (p Phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
+
+const (
+	// After SIGTERM new connections come for up to 0.4 s and requests on open
+	// ones for 0.2 s more; this is how long all are still taken, with room.
+	drainLeast = 900 * time.Millisecond
+	drainQuiet = 300 * time.Millisecond // nothing taken for so long
+	drainPoll  = 10 * time.Millisecond
+
+	ownDescriptors = 48 // standard streams, poller, listeners, journal, store and room
+	memoryShare    = 0.75
+)
+
+// Program is one coordinator.
+type Program struct {
+	phase  atomic.Int32
+	conf   *config
+	log    *slog.Logger
+	errOut io.Writer
+	core   *routing.Core
+	roster *transport.Roster
+	front  *transport.Listener
+	stop   context.CancelFunc
+}
+
+// Run is the whole life of the program; it returns the exit code.
+func Run(errOut io.Writer) int {
+	p := &Program{errOut: errOut, log: slog.New(slog.NewTextHandler(errOut, nil))}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	if err := p.start(); err != nil {
+		fmt.Fprintln(errOut, "aniseloft:", err)
+		return 1
+	}
+	p.enter(Serving)
+	for s := range signals {
+		if s == syscall.SIGUSR1 {
+			p.print()
+			continue
+		}
+		break
+	}
+	p.enter(Draining)
+	p.drain(signals)
+	p.enter(Stopped)
+	p.print()
+	return 0
+}
+
+func (p *Program) enter(to Phase) {
+	p.phase.Store(int32(to))
+	p.log.Info("phase", "now", to.String())
+}
+
+// Phase tells where the program stands.
+func (p *Program) Phase() Phase { return Phase(p.phase.Load()) }
+
+func (p *Program) start() error {
+	var err error
+	if p.conf, err = load(); err != nil {
+		return err
+	}
+	limits := p.conf.Limits
+	debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * memoryShare))
+	if limits.Cores > 0 {
+		runtime.GOMAXPROCS(min(runtime.NumCPU(), max(int(math.Ceil(limits.Cores)), 1)))
+	}
+	s := p.conf.settings
+	connect, idle := 250*time.Millisecond, 10*time.Second
+	if s.ConnectTimeout > 0 {
+		connect = time.Duration(s.ConnectTimeout * float64(time.Millisecond))
+	}
+	if s.ConnIdle > 0 { // close before the engine does
+		idle = time.Duration(s.ConnIdle * 0.8 * float64(time.Millisecond))
+	}
+	clients := limits.Sockets / 3
+	pool := transport.NewPool(limits.Sockets-clients-ownDescriptors, connect, idle)
+	if p.core, err = routing.NewCore(s, p.conf.seed, transport.Engines{Pool: pool}, p.log); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
+	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: func() bool { return p.Phase() == Serving }}
+	if p.front, err = transport.Listen(p.conf.Listen, clients, p.log, clientFront.Serve); err != nil {
+		return err
+	}
+	var ctx context.Context
+	ctx, p.stop = context.WithCancel(context.Background())
+	go p.core.Run(ctx)
+	p.roster.Known(p.conf.Known)
+	go p.roster.Run(ctx)
+	go p.front.Run()
+	return nil
+}
+
+// drain keeps taking and answering for as long as the platform sends, then
+// finishes what is open. A second signal changes nothing.
+func (p *Program) drain(signals <-chan os.Signal) {
+	began := time.Now()
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				p.print()
+			}
+		case <-tick.C:
+			if time.Since(began) >= drainLeast && p.core.Open() == 0 && time.Since(p.core.LastTaken()) >= drainQuiet {
+				p.front.Close()
+				p.stop()
+				return
+			}
+		}
+	}
+}
+
+// print writes the counters.
+func (p *Program) print() { _, _ = io.WriteString(p.errOut, p.core.Counts.String()) }
--- /dev/null
+++ b/internal/protocol/jsonrpc/jsonrpc.go
@@ -0,0 +1,194 @@
+// Package jsonrpc is the platform's client protocol: JSON-RPC 2.0, a message a
+// line. It is a state machine that is fed bytes and knows no socket.
+package jsonrpc
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"aniseloft/internal/protocol/httpmsg"
+)
+
+// MaxLine bounds what one message may hold.
+const MaxLine = 256 << 10
+
+// MaxTTL bounds a deadline, in milliseconds: an hour.
+const MaxTTL = 3600e3
+
+// The standard's errors, and the platform's.
+const (
+	CodeParse    = -32700
+	CodeInvalid  = -32600
+	CodeNoMethod = -32601
+	CodeParams   = -32602
+	CodeRefused  = -32000
+	CodeFailed   = -32001
+)
+
+// ErrLineTooLong ends a connection.
+var ErrLineTooLong = errors.New("jsonrpc: line too long")
+
+var codec = jsoniter.Config{CaseSensitive: true, EscapeHTML: false}.Froze()
+
+type (
+	// Request is a query; ID is as the client wrote it.
+	Request struct {
+		ID       string
+		Method   string
+		Call     string
+		TTL      float64
+		Work     float64
+		RAM      float64
+		Document []byte
+	}
+	// Cancel withdraws the open request with that id.
+	Cancel struct{ ID string }
+	// Alive asks whether requests are welcome.
+	Alive struct{ ID string }
+	// Bad is a message that can't be taken; Answer is the line it gets.
+	Bad struct{ Answer []byte }
+)
+
+// Machine cuts the bytes of one connection into messages.
+type Machine struct{ buf []byte }
+
+// Feed takes bytes and returns the messages that they complete.
+func (m *Machine) Feed(b []byte) ([]any, error) {
+	m.buf = append(m.buf, b...)
+	var out []any
+	rest := m.buf
+	for {
+		i := bytes.IndexByte(rest, '\n')
+		if i > MaxLine || i < 0 && len(rest) > MaxLine {
+			return out, ErrLineTooLong
+		}
+		if i < 0 {
+			break
+		}
+		line := bytes.TrimSpace(rest[:i])
+		if rest = rest[i+1:]; len(line) > 0 {
+			out = append(out, message(line))
+		}
+	}
+	if len(rest) == 0 {
+		m.buf = nil
+	} else {
+		m.buf = append(m.buf[:0:0], rest...)
+	}
+	return out, nil
+}
+
+type envelope struct {
+	Version string              `json:"jsonrpc"`
+	ID      jsoniter.RawMessage `json:"id"`
+	Method  *string             `json:"method"`
+	Params  jsoniter.RawMessage `json:"params"`
+}
+
+type params struct {
+	Call string   `json:"call"`
+	TTL  *float64 `json:"ttl"`
+	Work float64  `json:"work"`
+	RAM  float64  `json:"ram"`
+	Doc  *string  `json:"doc"`
+}
+
+func message(line []byte) any {
+	if !jsoniter.Valid(line) {
+		return bad("null", CodeParse, "parse error")
+	}
+	var e envelope
+	if err := codec.Unmarshal(line, &e); err != nil {
+		return bad("null", CodeInvalid, "invalid request")
+	}
+	id := string(e.ID)
+	if !idOK(e.ID) {
+		id = "null"
+	}
+	if e.Version != "2.0" || e.Method == nil || *e.Method == "" {
+		return bad(id, CodeInvalid, "invalid request")
+	}
+	if *e.Method == "cancelRequest" {
+		return cancel(e, id)
+	}
+	if id == "null" {
+		return bad(id, CodeInvalid, "invalid request: a request needs an id")
+	}
+	if *e.Method == "alive" {
+		return Alive{id}
+	}
+	var p params
+	if len(e.Params) == 0 || codec.Unmarshal(e.Params, &p) != nil {
+		return bad(id, CodeParams, "invalid params")
+	}
+	r := Request{ID: id, Method: *e.Method, Call: p.Call, Work: p.Work, RAM: p.RAM}
+	switch {
+	case !httpmsg.Clean(p.Call):
+		return bad(id, CodeParams, "invalid params: call")
+	case p.TTL == nil || !(*p.TTL > 0 && *p.TTL <= MaxTTL):
+		return bad(id, CodeParams, "invalid params: ttl")
+	case !(p.Work >= 0 && p.Work < 1e12) || !(p.RAM >= 0 && p.RAM < 1e12):
+		return bad(id, CodeParams, "invalid params: work or ram")
+	case p.Doc == nil:
+		return bad(id, CodeParams, "invalid params: doc")
+	}
+	doc, err := base64.StdEncoding.DecodeString(*p.Doc)
+	if err != nil {
+		return bad(id, CodeParams, "invalid params: doc")
+	}
+	r.TTL, r.Document = *p.TTL, doc
+	return r
+}
+
+// cancel takes the id of the request in question from the params; a cancel is
+// a notification, so one that names nothing gets an answer only if it has an id.
+func cancel(e envelope, id string) any {
+	var p struct {
+		ID jsoniter.RawMessage `json:"id"`
+	}
+	if len(e.Params) > 0 && codec.Unmarshal(e.Params, &p) == nil && idOK(p.ID) {
+		return Cancel{string(p.ID)}
+	}
+	return bad(id, CodeParams, "invalid params: id")
+}
+
+// idOK takes numbers and short strings; echoed as they came.
+func idOK(raw []byte) bool {
+	if len(raw) == 0 || len(raw) > 64 {
+		return false
+	}
+	return raw[0] == '"' || raw[0] == '-' || raw[0] >= '0' && raw[0] <= '9'
+}
+
+func bad(id string, code int, text string) Bad { return Bad{Error(id, code, text)} }
+
+// Error is the line of a plain error.
+func Error(id string, code int, text string) []byte {
+	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"error":{"code":%d,"message":%s}}`+"\n", id, code, strconv.Quote(text))
+}
+
+// Refused is the line of a refusal; pushback is in milliseconds.
+func Refused(id, text string, pushback float64) []byte {
+	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"error":{"code":%d,"message":%s,"data":{"pushback":%d}}}`+"\n",
+		id, CodeRefused, strconv.Quote(text), int64(max(pushback, 0)))
+}
+
+// Result is the line of a served request.
+func Result(id string, body []byte) []byte {
+	b := make([]byte, 0, 64+len(id)+base64.StdEncoding.EncodedLen(len(body)))
+	b = append(b, `{"jsonrpc":"2.0","id":`...)
+	b = append(b, id...)
+	b = append(b, `,"result":{"doc":"`...)
+	b = base64.StdEncoding.AppendEncode(b, body)
+	return append(b, "\"}}\n"...)
+}
+
+// AliveAnswer is the line that answers Alive.
+func AliveAnswer(id string, pass bool) []byte {
+	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"result":{"pass":%t}}`+"\n", id, pass)
+}
--- /dev/null
+++ b/internal/routing/core.go
@@ -0,0 +1,402 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"aniseloft/decide"
+)
+
+const (
+	inboxSize    = 4096
+	guardAfter   = 15 * time.Millisecond // past the deadline: the core answers for a module that has not
+	maxOpen      = 12000                 // queries held at a time, whatever the settings allow
+	probeTimeout = 250 * time.Millisecond
+)
+
+// Core owns the gateway and all that is open.
+type Core struct {
+	set      decide.Settings
+	gateway  *decide.Gateway
+	dialer   Dialer
+	log      *slog.Logger
+	inbox    chan func()
+	done     chan struct{}
+	limit    int
+	seq      atomic.Uint64
+	after    []func() // what the core's own goroutine put off until this event is done
+	requests map[decide.RequestID]*request
+	engines  map[decide.EngineID]*engine
+	running  sync.WaitGroup
+	open     atomic.Int64
+	takenAt  atomic.Int64
+	Counts   *Counters
+}
+
+// request is a query with what became of it.
+type request struct {
+	id       decide.RequestID
+	query    Query
+	front    Front // nil once answered or gone
+	guard    *time.Timer
+	grant    float64
+	priority int
+	attempts []*attempt
+	running  int
+}
+
+// attempt is a send that has no outcome yet, or had one.
+type attempt struct {
+	engine *engine
+	at     time.Time
+	cancel context.CancelFunc
+	over   bool
+}
+
+// engine is a member of the list and the way to it.
+type engine struct {
+	Member
+	way   Engine
+	ready atomic.Bool
+}
+
+// NewCore returns a core whose loop is not yet running.
+func NewCore(set decide.Settings, seed uint64, dialer Dialer, log *slog.Logger) (*Core, error) {
+	g, err := decide.New(set, seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen,
+		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
+		requests: map[decide.RequestID]*request{}, engines: map[decide.EngineID]*engine{},
+		Counts: newCounters(set)}
+	if set.MaxOpen > 0 {
+		c.limit = min(set.MaxOpen, maxOpen)
+	}
+	return c, nil
+}
+
+// Class finds a class by its name.
+func (c *Core) Class(name string) (int, bool) {
+	for i, k := range c.set.Classes {
+		if k.Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Settings are what the core was made with.
+func (c *Core) Settings() decide.Settings { return c.set }
+
+// Run handles events until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	for {
+		select {
+		case f := <-c.inbox:
+			f()
+			for len(c.after) > 0 {
+				f, c.after = c.after[0], c.after[1:]
+				f()
+			}
+		case <-ctx.Done():
+			for _, r := range c.requests {
+				for _, a := range r.attempts {
+					a.cancel()
+				}
+			}
+			return
+		}
+	}
+}
+
+// post hands an event to the core's goroutine; after the end it is dropped.
+func (c *Core) post(f func()) {
+	select {
+	case c.inbox <- f:
+	case <-c.done:
+	}
+}
+
+// Open is the number of queries without a final answer.
+func (c *Core) Open() int64 { return c.open.Load() }
+
+// LastTaken is when the latest query was taken.
+func (c *Core) LastTaken() time.Time { return time.UnixMilli(c.takenAt.Load()) }
+
+// Ticket names a submitted query to its front.
+type Ticket struct{ id decide.RequestID }
+
+// Submit takes a query. Its front gets exactly one answer, unless it says Gone first.
+func (c *Core) Submit(q Query, f Front) Ticket {
+	t := Ticket{decide.RequestID(strconv.FormatUint(c.seq.Add(1), 36))}
+	c.open.Add(1)
+	c.takenAt.Store(time.Now().UnixMilli())
+	c.post(func() { c.arrived(t.id, q, f) })
+	return t
+}
+
+// Gone withdraws a query: its client no longer waits, and no answer is owed.
+func (c *Core) Gone(t Ticket) {
+	c.post(func() {
+		r := c.requests[t.id]
+		if r == nil || r.front == nil {
+			return
+		}
+		c.Counts.gone(r.query.Class)
+		c.close(r)
+		c.handle(decide.ClientGone{ID: t.id})
+		c.forget(r)
+	})
+}
+
+// now is the module's clock: Unix milliseconds, as engines' starts are told in.
+func now() decide.Millis { return float64(time.Now().UnixMicro()) / 1000 }
+
+func ms(m decide.Millis) time.Duration { return time.Duration(m * float64(time.Millisecond)) }
+
+func (c *Core) arrived(id decide.RequestID, q Query, f Front) {
+	c.Counts.taken(q.Class)
+	r := &request{id: id, query: q, front: f, priority: -1}
+	if len(c.requests) >= c.limit {
+		c.answer(r, Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: "too many open requests"})
+		return
+	}
+	c.requests[id] = r
+	left := time.Until(q.Deadline)
+	// The module answers in time; this guards the one-answer rule should it ever not.
+	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
+	c.handle(decide.Arrived{ID: id, Class: q.Class, Group: Group(string(q.Statement)),
+		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB})
+}
+
+func (c *Core) expired(r *request) {
+	if r.front == nil {
+		return
+	}
+	c.answer(r, Answer{Kind: Failed, Why: "deadline passed"})
+	c.handle(decide.ClientGone{ID: r.id})
+	c.forget(r)
+}
+
+// answer gives the one final answer.
+func (c *Core) answer(r *request, a Answer) {
+	if r.front == nil {
+		return
+	}
+	f := r.front
+	c.Counts.answered(r.query.Class, a.Kind)
+	c.close(r)
+	f.Answer(a)
+}
+
+// close marks a request as owed nothing more.
+func (c *Core) close(r *request) {
+	r.front = nil
+	c.open.Add(-1)
+	if r.guard != nil {
+		r.guard.Stop()
+	}
+}
+
+// forget drops a request that is closed and has nothing out.
+func (c *Core) forget(r *request) {
+	if r.front == nil && r.running == 0 {
+		delete(c.requests, r.id)
+	}
+}
+
+// handle gives one event to the module and carries its actions out.
+func (c *Core) handle(ev decide.Event) {
+	for _, a := range c.decide(ev) {
+		c.perform(a)
+	}
+}
+
+// decide guards against a panic of the module: it must not end the process and
+// with it every open request; what it was about is answered by the guard.
+func (c *Core) decide(ev decide.Event) (acts []decide.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.Counts.panics.Add(1)
+			c.log.Error("decision module panicked", "event", fmt.Sprintf("%T", ev), "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	return c.gateway.Handle(now(), ev)
+}
+
+func (c *Core) perform(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		c.send(a)
+	case decide.Cancel:
+		if r := c.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+			c.Counts.cancels.Add(1)
+			r.attempts[a.Attempt].cancel()
+		}
+	case decide.Refuse:
+		if r := c.requests[a.ID]; r != nil {
+			c.answer(r, Answer{Kind: Refused, ComeBack: ms(a.ComeBack), Why: "refused"})
+			c.forget(r)
+		}
+	case decide.Fail:
+		if r := c.requests[a.ID]; r != nil {
+			c.answer(r, Answer{Kind: Failed, Why: "failed"})
+			c.forget(r)
+		}
+	case decide.SetTerms:
+		c.terms(a)
+	case decide.WakeAfter:
+		token := a.Token
+		time.AfterFunc(ms(a.After), func() { c.post(func() { c.handle(decide.TimerFired{Token: token}) }) })
+	case decide.Probe:
+		c.probe(a.Engine)
+	case decide.Log:
+		c.log.Info(a.Text)
+	}
+}
+
+func (c *Core) terms(a decide.SetTerms) {
+	r := c.requests[a.ID]
+	if r == nil {
+		return
+	}
+	r.grant, r.priority = a.GrantMB, a.Priority
+	for _, t := range r.attempts {
+		if !t.over {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				if err := t.engine.way.Prioritize(ctx, r.query.Call, a.Priority); err != nil {
+					c.log.Debug("priority not set", "err", err)
+				}
+			}()
+		}
+	}
+}
+
+func (c *Core) send(a decide.Send) {
+	r, e := c.requests[a.ID], c.engines[a.Engine]
+	if r == nil {
+		return
+	}
+	timeout := min(ms(a.Timeout), time.Until(r.query.Deadline))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	t := &attempt{engine: e, at: time.Now(), cancel: cancel}
+	n := len(r.attempts)
+	r.attempts = append(r.attempts, t)
+	r.running++
+	c.Counts.sent(r.query.Class)
+	if e == nil || r.front == nil {
+		// Not by post: the core's goroutine must never wait for its own inbox.
+		c.after = append(c.after, func() { c.ended(r, n, a.Engine, Result{Outcome: decide.OutcomeNotSent}) })
+		return
+	}
+	try := Attempt{Call: r.query.Call, Class: c.set.Classes[r.query.Class].Name, Statement: r.query.Statement,
+		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Ready: e.ready.Load}
+	way := e.way
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		res := way.Run(ctx, try)
+		c.post(func() { c.ended(r, n, a.Engine, res) })
+	}()
+}
+
+// ended books an attempt's outcome. The first that is served is the answer.
+func (c *Core) ended(r *request, n int, id decide.EngineID, res Result) {
+	t := r.attempts[n]
+	t.over = true
+	t.cancel()
+	r.running--
+	c.Counts.ended(r.query.Class, res.Outcome)
+	if res.Outcome == decide.OutcomeServed {
+		c.answer(r, Answer{Kind: Served, Body: res.Body})
+	} else if res.Why != "" {
+		c.log.Debug("attempt ended", "call", r.query.Call, "outcome", int(res.Outcome), "why", res.Why)
+	}
+	c.handle(decide.AttemptEnded{ID: r.id, Attempt: n, Engine: id, Outcome: res.Outcome,
+		Latency: float64(time.Since(t.at).Microseconds()) / 1000, Closed: r.front == nil,
+		Work: res.Work, MemoryMB: res.MemoryMB, Load: res.Load})
+	c.forget(r)
+}
+
+func (c *Core) probe(id decide.EngineID) {
+	e := c.engines[id]
+	if e == nil {
+		c.after = append(c.after, func() { c.handle(decide.ProbeEnded{Engine: id, Outcome: decide.OutcomeNotSent}) })
+		return
+	}
+	c.Counts.probes.Add(1)
+	at, way := time.Now(), e.way
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		o, load := way.Probe(ctx)
+		c.post(func() {
+			c.handle(decide.ProbeEnded{Engine: id, Outcome: o, Load: load,
+				Latency: float64(time.Since(at).Microseconds()) / 1000})
+		})
+	}()
+}
+
+// List brings news of the list of engines.
+func (c *Core) List(kind decide.ListKind, members []Member) {
+	c.post(func() { c.listed(kind, members) })
+}
+
+// listed keeps the ways to engines in step with the list before the module hears of it.
+func (c *Core) listed(kind decide.ListKind, members []Member) {
+	ev := decide.ListChanged{Kind: kind}
+	named := map[decide.EngineID]bool{}
+	for _, m := range members {
+		ev.Entries = append(ev.Entries, m.EngineEntry)
+		named[m.ID] = true
+		c.member(m)
+	}
+	if kind != decide.ListDelta {
+		for id := range c.engines {
+			if !named[id] {
+				c.drop(id)
+			}
+		}
+	}
+	c.handle(ev)
+}
+
+func (c *Core) member(m Member) {
+	e := c.engines[m.ID]
+	if m.State == decide.EngineGone {
+		c.drop(m.ID)
+		return
+	}
+	// A new address or a fresh start is another process: what was kept for the old one is of no use.
+	if e != nil && (m.Addr != "" && e.Addr != m.Addr || m.Started > e.Started) {
+		if m.Addr == "" {
+			m.Addr = e.Addr
+		}
+		c.drop(m.ID)
+		e = nil
+	}
+	if e == nil {
+		e = &engine{Member: m, way: c.dialer.Engine(m)}
+		c.engines[m.ID] = e
+	}
+	e.State, e.Started = m.State, max(e.Started, m.Started)
+	e.ready.Store(m.State == decide.EngineReady)
+}
+
+func (c *Core) drop(id decide.EngineID) {
+	if e := c.engines[id]; e != nil {
+		e.ready.Store(false)
+		e.way.Close()
+		delete(c.engines, id)
+	}
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,90 @@
+// Package routing is the core that knows no wire. One goroutine owns the
+// decision module, the request table, the attempts and the timers; fronts hand
+// it queries, engines carry its attempts out.
+package routing
+
+import (
+	"context"
+	"time"
+
+	"aniseloft/decide"
+)
+
+// Query is what a client asks for.
+type Query struct {
+	Call      string // the client's name for it, passed on to engines unchanged
+	Class     int
+	Statement []byte
+	Deadline  time.Time
+	Work      float64 // estimated, ms on one core; 0: none
+	MemoryMB  float64 // estimated; 0: none
+}
+
+// Kind is what a final answer says.
+type Kind int
+
+const (
+	Served  Kind = iota
+	Refused      // trying again is harmless
+	Failed       // it may have run
+)
+
+// String names the kind as counters and logs do.
+func (k Kind) String() string { return [...]string{"served", "refused", "failed"}[k] }
+
+// Answer is the one final answer to a query.
+type Answer struct {
+	Kind     Kind
+	Body     []byte
+	ComeBack time.Duration // with a refusal: how long to stay away
+	Why      string
+}
+
+// Front receives the one answer to its query. It is called by the core's
+// goroutine and must not block.
+type Front interface{ Answer(Answer) }
+
+// Attempt is one try of a query at one engine.
+type Attempt struct {
+	Call      string
+	Class     string
+	Statement []byte
+	Timeout   time.Duration
+	GrantMB   float64
+	Priority  int // -1: none set
+	// Ready tells, as the first byte goes, whether the list still allows new
+	// work to the engine: between the decision and the send, a drain may come.
+	Ready func() bool
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome  decide.Outcome
+	Body     []byte
+	Work     float64
+	MemoryMB float64
+	Load     *decide.Load
+	Why      string
+}
+
+// Engine is the way to one engine, whatever it speaks.
+type Engine interface {
+	// Run carries an attempt out. It ends when ctx does, giving the attempt up.
+	Run(ctx context.Context, a Attempt) Result
+	// Prioritize changes the priority of a running attempt.
+	Prioritize(ctx context.Context, call string, priority int) error
+	// Probe asks for a report of load.
+	Probe(ctx context.Context) (decide.Outcome, *decide.Load)
+	// Close drops what is kept for the engine: it is gone.
+	Close()
+}
+
+// Member is one line of the list of engines.
+type Member struct {
+	decide.EngineEntry
+	Name string
+	Addr string
+}
+
+// Dialer makes the way to a member of the list.
+type Dialer interface{ Engine(Member) Engine }
--- /dev/null
+++ b/internal/transport/engine.go
@@ -0,0 +1,230 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"aniseloft/decide"
+	"aniseloft/internal/protocol/engine"
+	"aniseloft/internal/routing"
+)
+
+const (
+	// An engine answers a long poll within 250 ms. Silence this long is a lost
+	// connection; asking anew within 2 s keeps the query alive.
+	silence    = 1200 * time.Millisecond
+	callLimit  = 250 * time.Millisecond // one short call, such as a cancel
+	maxResumes = 2                      // connections lost in a row before a query is given up
+)
+
+// Engines makes the ways to engines that speak the platform's protocol.
+type Engines struct{ Pool *Pool }
+
+// Engine is the way to one of them.
+func (d Engines) Engine(m routing.Member) routing.Engine {
+	return &paged{addr: m.Addr, lane: d.Pool.lane(m.Addr)}
+}
+
+// paged is an engine that speaks the platform's protocol.
+type paged struct {
+	addr string
+	lane *lane
+}
+
+// Run carries one attempt out on a connection of its own.
+func (p *paged) Run(ctx context.Context, a routing.Attempt) routing.Result {
+	c, err := p.lane.get(ctx)
+	if err != nil {
+		return notReached(ctx, err)
+	}
+	deadline, _ := ctx.Deadline()
+	q := engine.NewQuery(p.addr, engine.Start{Call: a.Call, Class: a.Class, Statement: a.Statement,
+		TimeoutMS: max(time.Until(deadline).Milliseconds(), 1), GrantMB: int64(math.Ceil(a.GrantMB)), Priority: a.Priority})
+	// The dial took time: a drain may have come. Nothing new goes to an engine
+	// that the list no longer calls ready.
+	if ctx.Err() != nil || !a.Ready() {
+		p.lane.put(c)
+		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
+	}
+	res, err := p.converse(ctx, c, q)
+	if err == nil {
+		return result(res)
+	}
+	if ctx.Err() != nil {
+		p.giveUp(a.Call)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return routing.Result{Outcome: decide.OutcomeTimeout, Why: "deadline"}
+		}
+		return routing.Result{Outcome: decide.OutcomeCancelled}
+	}
+	// Whether it ran is not known, even where a reused connection reset at once:
+	// it is for the module to say whether the class may go again.
+	return routing.Result{Outcome: decide.OutcomeReset, Why: err.Error()}
+}
+
+// converse feeds the query's machine until it ends. A connection lost on the
+// way is replaced: asking for news starts nothing, so it is safe for loads.
+func (p *paged) converse(ctx context.Context, c *link, q *engine.Query) (*engine.Result, error) {
+	out := q.Begin()
+	for lost := 0; ; lost++ {
+		res, err := p.exchange(ctx, c, q, out)
+		if err == nil || ctx.Err() != nil || lost >= maxResumes {
+			return res, err
+		}
+		fresh, derr := p.lane.dial(ctx)
+		if derr != nil {
+			return nil, fmt.Errorf("%w; and again: %w", err, derr)
+		}
+		c, out = fresh, q.Resume()
+	}
+}
+
+// exchange writes and reads on one connection and hands it back.
+func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte) (*engine.Result, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	res, keep, err := speak(c, q, out)
+	if stop() && err == nil && keep {
+		p.lane.put(c)
+	} else {
+		p.lane.drop(c)
+	}
+	return res, err
+}
+
+func speak(c *link, q *engine.Query, out []byte) (*engine.Result, bool, error) {
+	for {
+		if len(out) > 0 {
+			if _, err := c.text.W.Write(out); err != nil {
+				return nil, false, err
+			}
+			if err := c.text.W.Flush(); err != nil {
+				return nil, false, err
+			}
+		}
+		b, err := c.read(time.Now().Add(silence))
+		if err != nil {
+			return nil, false, fmt.Errorf("read: %w", err)
+		}
+		var res *engine.Result
+		var keep bool
+		out, res, keep, err = q.Feed(b)
+		if err != nil || res != nil {
+			return res, keep, err
+		}
+	}
+}
+
+// notReached says what a connection that never stood proves: nothing ran.
+func notReached(ctx context.Context, err error) routing.Result {
+	switch {
+	case errors.Is(err, errNoDescriptor):
+		return routing.Result{Outcome: decide.OutcomeNotSent, Why: err.Error()}
+	case errors.Is(ctx.Err(), context.Canceled):
+		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "cancelled before a connection stood"}
+	}
+	return routing.Result{Outcome: decide.OutcomeConnectFailed, Why: err.Error()}
+}
+
+func result(r *engine.Result) routing.Result {
+	out := routing.Result{Work: r.Work, MemoryMB: r.MemoryMB, Load: load(r.Report), Why: r.Why}
+	switch r.End {
+	case engine.Served:
+		out.Outcome, out.Body = decide.OutcomeServed, r.Body
+	case engine.Full:
+		out.Outcome = decide.OutcomeFull
+	case engine.Over:
+		out.Outcome = decide.OutcomeNotSent
+	default:
+		out.Outcome = decide.OutcomeError
+	}
+	return out
+}
+
+// load reads a report; what it lacks is below 0, as the module wants it.
+func load(text string) *decide.Load {
+	if text == "" {
+		return nil
+	}
+	u := engine.Report(text)
+	get := func(k string) float64 {
+		if v, ok := u[k]; ok {
+			return v
+		}
+		return -1
+	}
+	return &decide.Load{InFlight: get("inflight"), Queue: get("queue"), Util: get("util"),
+		Latency: get("latency_ms"), Memory: get("x0"), Disk: get("x1")}
+}
+
+// giveUp tells the engine that nobody waits any more.
+func (p *paged) giveUp(call string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	_, _, _ = p.single(ctx, engine.Delete(p.addr, call))
+}
+
+// single makes one short call on a connection beside the queries'.
+func (p *paged) single(ctx context.Context, out []byte) (status int, report string, err error) {
+	c, err := p.lane.get(ctx)
+	if err != nil {
+		return 0, "", err
+	}
+	keep := false
+	defer func() {
+		if keep {
+			p.lane.put(c)
+		} else {
+			p.lane.drop(c)
+		}
+	}()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(callLimit)
+	}
+	if err := c.write(out, deadline); err != nil {
+		return 0, "", err
+	}
+	for m := engine.NewSingle(); ; {
+		b, err := c.read(deadline)
+		if err != nil {
+			return 0, "", err
+		}
+		if status, report, keep, err = m.Feed(b); err != nil || status != 0 {
+			return status, report, err
+		}
+	}
+}
+
+// Prioritize changes the priority of a running query.
+func (p *paged) Prioritize(ctx context.Context, call string, priority int) error {
+	status, _, err := p.single(ctx, engine.Prioritize(p.addr, call, priority))
+	if err == nil && status != 204 {
+		err = fmt.Errorf("priority: status %d", status)
+	}
+	return err
+}
+
+// Probe asks for a report of load.
+func (p *paged) Probe(ctx context.Context) (decide.Outcome, *decide.Load) {
+	status, report, err := p.single(ctx, engine.Probe(p.addr))
+	switch {
+	case err == nil && status == 200:
+		return decide.OutcomeServed, load(report)
+	case err == nil:
+		return decide.OutcomeFull, load(report)
+	case errors.Is(err, errNoDescriptor):
+		return decide.OutcomeNotSent, nil
+	case errors.Is(err, io.EOF) || isReset(err):
+		return decide.OutcomeReset, nil
+	case ctx.Err() != nil || isTimeout(err):
+		return decide.OutcomeTimeout, nil
+	}
+	return decide.OutcomeConnectFailed, nil
+}
+
+// Close drops what is kept for the engine.
+func (p *paged) Close() { p.lane.close() }
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,209 @@
+// Package transport is the thin drivers that read and write sockets for the
+// byte machines of the protocols, over net/textproto.
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/textproto"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// errNoDescriptor says that the budget of descriptors is spent.
+var errNoDescriptor = errors.New("no descriptor left for an engine")
+
+// link is one connection to an engine.
+type link struct {
+	net   net.Conn
+	text  *textproto.Conn
+	idled time.Time
+	used  bool // carried a call before
+}
+
+// Pool holds the connections to engines, each engine's apart, and keeps all of
+// them together within a budget of descriptors.
+type Pool struct {
+	mu      sync.Mutex
+	limit   int
+	open    int
+	connect time.Duration
+	maxIdle time.Duration
+	idle    map[*lane]struct{}
+}
+
+// lane is the idle connections of one engine. A new engine may get an old
+// address, so connections belong to an engine and never to an address.
+type lane struct {
+	pool   *Pool
+	addr   string
+	idle   []*link
+	closed bool
+}
+
+// NewPool returns a pool that opens at most limit connections.
+func NewPool(limit int, connect, maxIdle time.Duration) *Pool {
+	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, idle: map[*lane]struct{}{}}
+}
+
+func (p *Pool) lane(addr string) *lane {
+	l := &lane{pool: p, addr: addr}
+	p.mu.Lock()
+	p.idle[l] = struct{}{}
+	p.mu.Unlock()
+	return l
+}
+
+// reserve takes a descriptor, if need be from an idle connection.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.limit {
+		p.open++
+		return true
+	}
+	for l := range p.idle {
+		if len(l.idle) > 0 {
+			_ = l.idle[0].net.Close()
+			l.idle = l.idle[1:]
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// get returns an idle connection that still stands, or a new one.
+func (l *lane) get(ctx context.Context) (*link, error) {
+	if c := l.takeIdle(); c != nil {
+		return c, nil
+	}
+	return l.dial(ctx)
+}
+
+func (l *lane) takeIdle() *link {
+	for {
+		l.pool.mu.Lock()
+		if len(l.idle) == 0 {
+			l.pool.mu.Unlock()
+			return nil
+		}
+		c := l.idle[len(l.idle)-1]
+		l.idle = l.idle[:len(l.idle)-1]
+		l.pool.mu.Unlock()
+		if time.Since(c.idled) < l.pool.maxIdle && quiet(c.net) {
+			return c
+		}
+		l.drop(c)
+	}
+}
+
+// dial opens a connection; one that takes too long has failed.
+func (l *lane) dial(ctx context.Context) (*link, error) {
+	if !l.pool.reserve() {
+		return nil, errNoDescriptor
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.pool.connect)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		l.pool.release()
+		return nil, err
+	}
+	return &link{net: c, text: textproto.NewConn(c)}, nil
+}
+
+// put returns a connection that can carry another call, and drops what idled too long.
+func (l *lane) put(c *link) {
+	c.used, c.idled = true, time.Now()
+	l.pool.mu.Lock()
+	var old []*link
+	for len(l.idle) > 0 && time.Since(l.idle[0].idled) >= l.pool.maxIdle {
+		old, l.idle = append(old, l.idle[0]), l.idle[1:]
+	}
+	if l.closed {
+		old = append(old, c)
+	} else {
+		l.idle = append(l.idle, c)
+	}
+	l.pool.mu.Unlock()
+	for _, o := range old {
+		l.drop(o)
+	}
+}
+
+func (l *lane) drop(c *link) {
+	_ = c.net.Close()
+	l.pool.release()
+}
+
+// close drops what idles; what is in use is dropped when it comes back.
+func (l *lane) close() {
+	l.pool.mu.Lock()
+	old := l.idle
+	l.idle, l.closed = nil, true
+	delete(l.pool.idle, l)
+	l.pool.mu.Unlock()
+	for _, c := range old {
+		l.drop(c)
+	}
+}
+
+// quiet tells whether an idle connection still stands: neither closed by the
+// other side nor with bytes that no call asked for. What it can't see is a
+// close that is still on its way.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	stands := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		stands = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && stands
+}
+
+// write sends bytes by the deadline.
+func (c *link) write(b []byte, deadline time.Time) error {
+	if err := c.net.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	if _, err := c.text.W.Write(b); err != nil {
+		return err
+	}
+	return c.text.W.Flush()
+}
+
+// read waits for bytes until the deadline; they are good until the next read.
+func (c *link) read(deadline time.Time) ([]byte, error) {
+	if c.text.R.Buffered() == 0 {
+		if err := c.net.SetReadDeadline(deadline); err != nil {
+			return nil, err
+		}
+		if _, err := c.text.R.Peek(1); err != nil {
+			return nil, err
+		}
+	}
+	b, err := c.text.R.Peek(c.text.R.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	_, err = c.text.R.Discard(len(b))
+	return b, err
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,12 +1,16 @@
 package wire
 
 import (
-	"encoding/json"
 	"fmt"
 
+	jsoniter "github.com/json-iterator/go"
+
 	"aniseloft/decide"
 )
 
+// settingsJSON reads settings; names are matched as they are written.
+var settingsJSON = jsoniter.Config{CaseSensitive: true}.Froze()
+
 // params are the settings as the wire gives them; unknown keys are ignored.
 type params struct {
 	Balancers int `json:"balancers"`
@@ -18,6 +22,9 @@
 		Probes      bool    `json:"probes"`
 		RetryAfter  bool    `json:"retryAfter"`
 		MaxAttempts int     `json:"sendCap"`
+		Connect     float64 `json:"connectTimeoutMs"`
+		ConnIdle    float64 `json:"connIdleMs"`
+		MaxOpen     int     `json:"maxOpen"`
 	} `json:"bounds"`
 	Domain struct {
 		Waits        []bool    `json:"blockedByLoads"`
@@ -33,6 +40,7 @@
 		ProgressMs   float64   `json:"progressMs"`
 	} `json:"domain"`
 	Lanes []struct {
+		Name         string  `json:"name"`
 		AimStretch   float64 `json:"aimStretch"`
 		PromiseMs    float64 `json:"promiseMs"`
 		DeadlineMs   float64 `json:"deadlineMs"`
@@ -52,7 +60,8 @@
 	} `json:"prices"`
 	RegistryMode string `json:"registryMode"`
 	Report       struct {
-		Via string `json:"via"`
+		Fields []string `json:"fields"`
+		Via    string   `json:"via"`
 	} `json:"report"`
 	Rules struct {
 		AnswerSlackMs float64  `json:"answerSlackMs"`
@@ -71,7 +80,10 @@
 		PerS  float64 `json:"allowancePerS"`
 		Share float64 `json:"share"`
 	} `json:"tenants"`
-	TickMs float64 `json:"tickMs"`
+	TickMs  float64  `json:"tickMs"`
+	Zone    int      `json:"zone"`
+	Zones   []string `json:"zones"`
+	Machine []string `json:"machineTypes"`
 }
 
 // word looks a word of the wire up.
@@ -95,8 +107,8 @@
 func Settings(raw []byte) (decide.Settings, error) {
 	var p params
 	var s decide.Settings
-	if err := json.Unmarshal(raw, &p); err != nil {
-		return s, plain(err)
+	if err := settingsJSON.Unmarshal(raw, &p); err != nil {
+		return s, err
 	}
 	s = decide.Settings{
 		Gateways: p.Balancers, Self: p.Me, Tick: p.TickMs,
@@ -106,6 +118,8 @@
 		PriorityHeeded: p.Domain.Priorities, CostTold: p.Domain.CostTold,
 		ProgressEvery: p.Domain.ProgressMs, MostGrant: p.Domain.MostGrant,
 		OverShareWorth: p.OverShareWorth,
+		Zones:          p.Zones, Zone: p.Zone, ConnectTimeout: p.Bounds.Connect, ConnIdle: p.Bounds.ConnIdle,
+		KindNames: p.Machine, MaxOpen: p.Bounds.MaxOpen, ReportFields: p.Report.Fields,
 		Rules: decide.Rules{
 			AnswerSlack: p.Rules.AnswerSlackMs, ColdFrom: p.Rules.ColdFrom, ColdFor: p.Rules.ColdMs,
 			FallMultiple: p.Rules.FallMultiple, FallSpan: p.Rules.FallMs, DrainGrace: p.Rules.DrainGraceMs,
@@ -138,7 +152,7 @@
 func classes(s *decide.Settings, p *params) error {
 	for i, l := range p.Lanes {
 		c := decide.Class{
-			Aim: l.PromiseMs, Deadline: l.DeadlineMs, AimStretch: l.AimStretch, Worth: l.Gain,
+			Name: l.Name, Aim: l.PromiseMs, Deadline: l.DeadlineMs, AimStretch: l.AimStretch, Worth: l.Gain,
 			LateWorth: l.LateWorth, Threads: at(p.Domain.Threads, i), RepeatWindow: l.RepeatWindow,
 			InOrder: l.InTurn, Zones: l.ConfinedTo, Kinds: l.BoundTo,
 			Loads: at(p.Domain.Loads, i), Waits: at(p.Domain.Waits, i)}
