Hold loads of a group at the gateway, and what no descriptor can carry

Change: room() passes over an engine where this gateway has a load of the group; pump() skips such groups cheaply; laden() holds what no descriptor can carry (Settings.MostOut, set from the limit); a timeout is answered before the cancel.

--- a/decide/api.go
+++ b/decide/api.go
@@ -114,6 +114,7 @@
 	Zone           int
 	ConnectTimeout Millis   // a connection that takes longer has failed
 	ConnIdle       Millis   // engines close connections idle for so long
+	MostOut        int      // attempts that the gateway can carry at a time; 0: no bound
 	MaxOpen        int      // the requests that a gateway may have open; 0: not told
 	ReportFields   []string // the names in a report of load
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -72,7 +72,8 @@
 		return nil, err
 	}
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 1)), engines: map[EngineID]*engine{},
-		requests: map[RequestID]*request{}, keys: map[uint64]*keyLine{}, peers: map[int]peerWord{},
+		requests: map[RequestID]*request{}, loading: map[uint64]int{},
+		keys: map[uint64]*keyLine{}, peers: map[int]peerWord{},
 		logAt: never, toldSeen: never, wokeAt: never, askAt: never, bucketAt: never, trialSeq: -trialEach,
 		buckets: make([]float64, len(s.Tenants)), anew: anewMost}
 	g.beat = s.Classes[0].Aim
@@ -272,6 +273,9 @@
 	c := g.classes[r.Class]
 	k, t := kind(c.long), float64(c.Threads)
 	need := r.MemoryMB * c.memBias
+	if c.Loads && e.loads[r.Group] > 0 {
+		return false // it would stand still there behind the other, holding what it was granted
+	}
 	if g.now-e.fullAt < g.ticks(4*graceTicks) ||
 		e.mem > 0 && need > 0 && e.memOut > 0 && e.peerMem+e.memOut+need > e.mem {
 		return false
@@ -545,9 +549,13 @@
 	return w / g.expect(r)
 }
 
+// laden tells whether as much is out as the gateway can carry: a send that finds no descriptor would
+// use up an attempt for nothing, so what comes then is held and goes by worth.
+func (g *Gateway) laden() bool { return g.set.MostOut > 0 && g.out >= g.set.MostOut }
+
 // dispatch sends a request if it is its turn and an engine has room.
 func (g *Gateway) dispatch(r *request) bool {
-	if !g.itsTurn(r) || r.attempts > 0 && !g.mayRetry(r) || g.awaits(r) {
+	if !g.itsTurn(r) || r.attempts > 0 && !g.mayRetry(r) || g.awaits(r) || g.laden() {
 		return false
 	}
 	l := g.inBand(r)
@@ -563,24 +571,38 @@
 
 // pump sends what is held, most worth for its work first; behind one without room, higher lots wait.
 func (g *Gateway) pump() {
-	if len(g.heldQ) == 0 {
+	if len(g.heldQ) == 0 || g.laden() {
 		return
 	}
+	queue, locked := make([]*request, 0, len(g.heldQ)), map[uint64]bool{}
+	waiting := g.heldQ[:0:0]
 	for _, r := range g.heldQ {
+		if g.groupHeld(r) {
+			waiting = append(waiting, r)
+			continue
+		}
 		r.worth = g.value(r)
-	}
-	slices.SortStableFunc(g.heldQ, func(a, b *request) int { return cmp.Compare(b.worth, a.worth) })
-	queue, stuck := g.heldQ, make([]float64, len(g.classes)) // one less the lot from which on it waits
-	g.heldQ = nil
-	for _, r := range queue {
+		queue = append(queue, r)
+	}
+	slices.SortStableFunc(queue, func(a, b *request) int { return cmp.Compare(b.worth, a.worth) })
+	stuck := make([]float64, len(g.classes)) // one less the lot from which on it waits
+	g.heldQ = waiting
+	for i, r := range queue {
+		if g.laden() {
+			g.heldQ = append(g.heldQ, queue[i:]...)
+			return
+		}
 		if r.over {
 			continue
 		}
-		if g.itsTurn(r) && 1-r.draw > stuck[r.Class] {
+		loads := g.classes[r.Class].Loads
+		if g.itsTurn(r) && 1-r.draw > stuck[r.Class] && !(loads && locked[r.Group]) {
 			if g.dispatch(r) {
 				continue
 			}
-			if r.attempts == 0 && !g.awaits(r) {
+			if loads {
+				locked[r.Group] = true // other groups' loads may still have room
+			} else if r.attempts == 0 && !g.awaits(r) {
 				stuck[r.Class] = 1 - r.draw
 			}
 		}
@@ -588,6 +610,13 @@
 	}
 }
 
+// groupHeld tells whether this gateway's loads hold the load's group at every ready engine. Loads
+// of a group that meet run one by one anyway: here they wait without memory, session or connection,
+// can be refused while that is harmless, and the first engine that comes free takes the next.
+func (g *Gateway) groupHeld(r *request) bool {
+	return g.classes[r.Class].Loads && g.loading[r.Group] >= g.readyCount
+}
+
 // send starts an attempt; its grant is the estimate corrected by the class's
 // learned need, since too little spills and too much is lost to others.
 func (g *Gateway) send(r *request, e *engine) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -33,11 +33,12 @@
 	cores, mem  float64
 	listed      bool
 	out         map[*request]struct{}
-	load        float64    // at the choice in hand
-	sent        float64    // queries sent there lately
-	sentSeq     int        // when it was counted, in sends of this gateway
-	work        float64    // estimated work out, ms
-	threads     [2]float64 // threads out: short classes, long classes
+	loads       map[uint64]int // loads out by group
+	load        float64        // at the choice in hand
+	sent        float64        // queries sent there lately
+	sentSeq     int            // when it was counted, in sends of this gateway
+	work        float64        // estimated work out, ms
+	threads     [2]float64     // threads out: short classes, long classes
 	memOut      float64
 	slow        evidence // log of latency over unloaded latency
 	fullAt      Millis
@@ -140,6 +141,8 @@
 	requests    map[RequestID]*request
 	heldQ       []*request
 	rankedBy    map[uint64][]*engine // hash order by group
+	loading     map[uint64]int       // loads out by group, at all engines
+	readyCount  int                  // engines that the list calls ready
 	byTag       map[uint16]*engine   // nil where two share a tag
 	keys        map[uint64]*keyLine
 	taken       []Millis
@@ -270,6 +273,9 @@
 	e.work, e.memOut = e.work+r.load, e.memOut+r.mem
 	r.kind = kind(c.long)
 	e.threads[r.kind] += float64(c.Threads)
+	if c.Loads {
+		e.loads[r.Group], g.loading[r.Group] = e.loads[r.Group]+1, g.loading[r.Group]+1
+	}
 }
 
 // detach takes the attempt off the engine's books.
@@ -279,6 +285,17 @@
 	delete(e.out, r)
 	e.work, e.memOut = e.work-r.load, e.memOut-r.mem
 	e.threads[r.kind] -= float64(c.Threads)
+	if c.Loads {
+		lessen(e.loads, r.Group)
+		lessen(g.loading, r.Group)
+	}
+}
+
+// lessen takes one off a count and drops it at nought: no end of groups may fill a long life.
+func lessen(m map[uint64]int, k uint64) {
+	if m[k]--; m[k] <= 0 {
+		delete(m, k)
+	}
 }
 
 // addPeers sums what peers told lately; a line that a peer leaves out is nought.
@@ -303,13 +320,13 @@
 // work out at the old process still ends at this entry.
 func (g *Gateway) renew(id EngineID) *engine {
 	e := g.engines[id]
-	fresh := &engine{out: map[*request]struct{}{}, fullAt: never, lifeAt: never, refusedAt: never,
+	fresh := &engine{out: map[*request]struct{}{}, loads: map[uint64]int{}, fullAt: never, lifeAt: never, refusedAt: never,
 		witnessAt: never, ejectedTill: never, reportAt: never, probedAt: never, heardAt: never, sent: never, sentSeq: g.sends}
 	if e == nil {
 		g.engines[id], g.order = fresh, append(g.order, fresh)
 		return fresh
 	}
-	fresh.out, fresh.work, fresh.threads, fresh.memOut = e.out, e.work, e.threads, e.memOut
+	fresh.out, fresh.loads, fresh.work, fresh.threads, fresh.memOut = e.out, e.loads, e.work, e.threads, e.memOut
 	*e = *fresh
 	return e
 }
@@ -326,9 +343,12 @@
 		return gone
 	})
 	g.rankedBy, g.byTag = map[uint64][]*engine{}, map[uint16]*engine{}
-	g.cores = 0
+	g.cores, g.readyCount = 0, 0
 	for _, e := range g.order {
 		g.cores += e.cores
+		if e.ready() {
+			g.readyCount++
+		}
 		tag := tagOf(e.ID)
 		if _, twice := g.byTag[tag]; twice {
 			e = nil
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -39,8 +39,10 @@
 	drainQuiet = 300 * time.Millisecond // nothing taken for so long
 	drainPoll  = 10 * time.Millisecond
 
-	ownDescriptors = 48 // standard streams, poller, listeners, journal, store and room
+	ownDescriptors = 24 // standard streams, poller, listeners, journal, store and room
+	besideQueries  = 16 // connections to engines for cancels, priorities and probes
 	memoryShare    = 0.75
+	gcPercent      = 400
 )
 
 // Program is one coordinator.
@@ -52,6 +54,7 @@
 	core   *routing.Core
 	roster *transport.Roster
 	front  *transport.Listener
+	pool   *transport.Pool
 	stop   context.CancelFunc
 }
 
@@ -93,7 +96,10 @@
 		return err
 	}
 	limits := p.conf.Limits
+	// What is live is small beside the limit: collecting at each doubling of it would
+	// spend a good part of the one core. The limit makes collection frequent when it must be.
 	debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * memoryShare))
+	debug.SetGCPercent(gcPercent)
 	if limits.Cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.NumCPU(), max(int(math.Ceil(limits.Cores)), 1)))
 	}
@@ -106,8 +112,9 @@
 		idle = time.Duration(s.ConnIdle * 0.8 * float64(time.Millisecond))
 	}
 	clients := limits.Sockets / 3
-	pool := transport.NewPool(limits.Sockets-clients-ownDescriptors, connect, idle)
-	if p.core, err = routing.NewCore(s, p.conf.seed, transport.Engines{Pool: pool}, p.log); err != nil {
+	p.pool = transport.NewPool(limits.Sockets-clients-ownDescriptors, connect, idle)
+	s.MostOut = limits.Sockets - clients - ownDescriptors - besideQueries
+	if p.core, err = routing.NewCore(s, p.conf.seed, transport.Engines{Pool: p.pool}, p.log); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
@@ -147,4 +154,4 @@
 }
 
 // print writes the counters.
-func (p *Program) print() { _, _ = io.WriteString(p.errOut, p.core.Counts.String()) }
+func (p *Program) print() { _, _ = io.WriteString(p.errOut, p.core.Counts.String()+p.pool.String()) }
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -54,11 +54,13 @@
 	if err == nil {
 		return result(res)
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The client's answer is due now: it must not wait for the engine's word on the cancel.
+		go p.giveUp(a.Call)
+		return routing.Result{Outcome: decide.OutcomeTimeout, Why: "deadline"}
+	}
 	if ctx.Err() != nil {
-		p.giveUp(a.Call)
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return routing.Result{Outcome: decide.OutcomeTimeout, Why: "deadline"}
-		}
+		p.giveUp(a.Call) // first, as the query may come here again under the same id
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
 	// Whether it ran is not known, even where a reused connection reset at once:
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -32,6 +34,16 @@
 	connect time.Duration
 	maxIdle time.Duration
 	idle    map[*lane]struct{}
+	counts  struct{ dialled, reused, stolen, stale, spent atomic.Int64 }
+}
+
+// String is the pool's counters.
+func (p *Pool) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := &p.counts
+	return fmt.Sprintf("counters engine_connections open=%d limit=%d dialled=%d reused=%d stolen=%d stale=%d spent=%d\n",
+		p.open, p.limit, c.dialled.Load(), c.reused.Load(), c.stolen.Load(), c.stale.Load(), c.spent.Load())
 }
 
 // lane is the idle connections of one engine. A new engine may get an old
@@ -68,9 +80,11 @@
 		if len(l.idle) > 0 {
 			_ = l.idle[0].net.Close()
 			l.idle = l.idle[1:]
+			p.counts.stolen.Add(1)
 			return true
 		}
 	}
+	p.counts.spent.Add(1)
 	return false
 }
 
@@ -99,8 +113,10 @@
 		l.idle = l.idle[:len(l.idle)-1]
 		l.pool.mu.Unlock()
 		if time.Since(c.idled) < l.pool.maxIdle && quiet(c.net) {
+			l.pool.counts.reused.Add(1)
 			return c
 		}
+		l.pool.counts.stale.Add(1)
 		l.drop(c)
 	}
 }
@@ -118,6 +134,7 @@
 		l.pool.release()
 		return nil, err
 	}
+	l.pool.counts.dialled.Add(1)
 	return &link{net: c, text: textproto.NewConn(c)}, nil
 }
 
