Rank a crowded queue once a housekeeping, leave connections idle, record on PostgreSQL

Cause: with every connection out, each outcome made pump() in decide.go sort the whole held queue for one free place, and reserve() in pool.go closed an idle connection to dial another. Also: the REST record on PostgreSQL by the same SQL through pgx, shown only against the tests' stand-in of its wire protocol.

--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -17,6 +17,13 @@
 	return run(t, t.TempDir(), j, rest), e, j
 }
 
+// worldOn is a world with the REST front on and its record in store.
+func worldOn(t *testing.T, store string) (*node, *engine, *journal) {
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	return runOn(t, t.TempDir(), j, store), e, j
+}
+
 func eventually(t *testing.T, f func() bool) {
 	t.Helper()
 	require.Eventually(t, f, patience, 5*time.Millisecond)
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -320,14 +320,22 @@
 
 // run starts the program; dir is kept over restarts.
 func run(t *testing.T, dir string, j *journal, rest bool) *node {
+	if rest {
+		return runOn(t, dir, j, filepath.Join(dir, "record.db"))
+	}
+	return runOn(t, dir, j, "")
+}
+
+// runOn starts it with the REST front on and its record in store, unless that is empty.
+func runOn(t *testing.T, dir string, j *journal, store string) *node {
 	p := &node{t: t, dir: dir, listen: freeAddr(t), log: &bytes.Buffer{}}
 	conf := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"journal":%q,"known":%s,"settings":%s}`,
 		p.listen, j.Listener.Addr(), j.batch(0), settings)
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "config.json"), []byte(conf), 0o600))
-	if rest {
+	if store != "" {
 		p.rest = freeAddr(t)
 		require.NoError(t, os.MkdirAll(filepath.Join(dir, "deploy"), 0o700))
-		text := fmt.Sprintf(`{"listen":%q,"store":%q,"keep_seconds":600,"engine_kinds":["rest-16"]}`, p.rest, filepath.Join(dir, "record.db"))
+		text := fmt.Sprintf(`{"listen":%q,"store":%q,"keep_seconds":600,"engine_kinds":["rest-16"]}`, p.rest, store)
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "deploy", "rest.json"), []byte(text), 0o600))
 	}
 	p.Cmd = exec.Command(binary)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -498,7 +498,7 @@
 	if k := g.key(r); k != nil {
 		k.line = append(k.line, r)
 	}
-	if !g.dispatch(r) {
+	if g.crowded || !g.dispatch(r) {
 		if g.heldQ = append(g.heldQ, r); g.ending(r) {
 			g.giveUp(r)
 		}
@@ -550,7 +550,9 @@
 }
 
 // laden tells whether as much is out as the gateway can carry: a send that finds no descriptor would
-// use up an attempt for nothing, so what comes then is held and goes by worth.
+// use up an attempt for nothing. Once that stops the queue, all that comes is held until housekeeping
+// and goes by worth for the time that it holds a descriptor: to rank a long queue anew for each that
+// comes free would fill the core, and late answers then hold more.
 func (g *Gateway) laden() bool { return g.set.MostOut > 0 && g.out >= g.set.MostOut }
 
 // dispatch sends a request if it is its turn and an engine has room.
@@ -570,8 +572,10 @@
 }
 
 // pump sends what is held, most worth for its work first; behind one without room, higher lots wait.
-func (g *Gateway) pump() {
-	if len(g.heldQ) == 0 || g.laden() {
+func (g *Gateway) pump() { g.pumpBy(false) }
+
+func (g *Gateway) pumpBy(crowd bool) {
+	if len(g.heldQ) == 0 || g.crowded {
 		return
 	}
 	queue, locked := make([]*request, 0, len(g.heldQ)), map[uint64]bool{}
@@ -581,14 +585,16 @@
 			waiting = append(waiting, r)
 			continue
 		}
-		r.worth = g.value(r)
+		if r.worth = g.value(r); crowd {
+			r.worth *= float64(g.classes[r.Class].Threads)
+		}
 		queue = append(queue, r)
 	}
 	slices.SortStableFunc(queue, func(a, b *request) int { return cmp.Compare(b.worth, a.worth) })
 	stuck := make([]float64, len(g.classes)) // one less the lot from which on it waits
 	g.heldQ = waiting
 	for i, r := range queue {
-		if g.laden() {
+		if g.crowded = g.laden(); g.crowded {
 			g.heldQ = append(g.heldQ, queue[i:]...)
 			return
 		}
@@ -888,7 +894,9 @@
 	g.expire()
 	maps.DeleteFunc(g.keys, func(_ uint64, k *keyLine) bool { return len(k.line) == 0 && g.now > k.rest })
 	g.addPeers(reportAims * g.beat)
-	g.pump()
+	crowd := g.crowded
+	g.crowded = false
+	g.pumpBy(crowd)
 	g.tell()
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -158,6 +158,7 @@
 	anew        float64 // what is left of the budget to plan anew
 	trialSeq    int     // its last trial, in sends
 	out         int     // attempts without an outcome
+	crowded     bool    // more was out than can be carried when the queue was last tried
 	bornAt      Millis  // when it got its first list
 	ticking     bool
 	tickDue     Millis
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -44,6 +44,7 @@
 	besideQueries  = 16 // connections to engines for cancels, priorities and probes
 	memoryShare    = 0.75
 	gcPercent      = 400
+	outShare       = 0.88
 	storeStart     = 10 * time.Second
 )
 
@@ -128,7 +129,9 @@
 		restClients = clients / 4 // both fronts together keep to the clients' third
 	}
 	p.pool = transport.NewPool(limits.Sockets-clients-ownDescriptors, connect, idle)
-	s.MostOut = limits.Sockets - clients - ownDescriptors - besideQueries
+	// Where all connections are out, each send would close one engine's idle connection to
+	// open another's: a dial for a query. Some are left idle.
+	s.MostOut = int(float64(limits.Sockets-clients-ownDescriptors-besideQueries) * outShare)
 	if p.core, err = routing.NewCore(s, p.conf.seed, transport.ByKind{Pool: p.pool, Kinds: s.KindNames,
 		Rest: restKinds(restConf), User: p.conf.Name}, p.log); err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/internal/protocol/httpmsg/httpmsg.go
+++ b/internal/protocol/httpmsg/httpmsg.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // What a peer may make this program hold.
@@ -24,6 +25,9 @@
 	ErrMalformed = errors.New("http: malformed message")
 )
 
+// readers are buffers for heads: a new one of 4 KB for each message kept the collector busy.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 1024) }}
+
 // Message is one request or response.
 type Message struct {
 	Proto  string
@@ -70,14 +74,6 @@
 // Idle tells whether nothing of a message has come yet.
 func (m *Machine) Idle() bool { return m.phase == readingHead && len(m.buf) == 0 }
 
-// Head tells whether a request's head has come and its body is still awaited.
-func (m *Machine) Head() *Message {
-	if m.phase == readingBody || m.phase == readingChunkSize || m.phase == readingChunk {
-		return m.msg
-	}
-	return nil
-}
-
 // End tells that the stream has ended: a response without a length ends with it.
 func (m *Machine) End() (*Message, error) {
 	if m.phase == readingToEnd {
@@ -189,7 +185,11 @@
 	if i < 0 {
 		return nil, true, nil
 	}
-	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(m.buf[:end])))
+	src := bytes.NewReader(m.buf[:end])
+	buffer := readers.Get().(*bufio.Reader)
+	buffer.Reset(src)
+	defer readers.Put(buffer)
+	r := textproto.NewReader(buffer)
 	first, err := r.ReadLine()
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/internal/protocol/rest/rest.go
+++ b/internal/protocol/rest/rest.go
@@ -137,8 +137,15 @@
 
 // Column names one column of the data.
 type Column struct {
-	Name string `json:"name"`
-	Type string `json:"type"`
+	Name      string        `json:"name"`
+	Type      string        `json:"type"`
+	Signature TypeSignature `json:"typeSignature"`
+}
+
+// TypeSignature is a column's type as clients parse it.
+type TypeSignature struct {
+	RawType   string `json:"rawType"`
+	Arguments []any  `json:"arguments"`
 }
 
 // Stats tell where a query stands.
@@ -244,7 +251,7 @@
 	}
 	out := make([]Column, n)
 	for i := range out {
-		out[i] = Column{"c" + strconv.Itoa(i+1), "varchar"}
+		out[i] = Column{"c" + strconv.Itoa(i+1), "varchar", TypeSignature{"varchar", []any{}}}
 	}
 	return out
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,10 +7,12 @@
 	"database/sql"
 	"errors"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
-	_ "modernc.org/sqlite" // the driver, in pure Go
+	_ "github.com/jackc/pgx/v5/stdlib" // the driver for PostgreSQL
+	_ "modernc.org/sqlite"             // the driver, in pure Go
 )
 
 // State is where a query stands.
@@ -51,14 +53,28 @@
 
 const columns = `id, slug, owner, COALESCE(idem_key, ''), digest, class, state, pages, come_back_ms, expiry_ms`
 
-// Open opens the record in a SQLite file.
-func Open(ctx context.Context, file string) (*Store, error) {
-	db, err := sql.Open("sqlite", "file:"+file+"?_pragma=journal_mode(WAL)&_pragma=synchronous(FULL)&_pragma=busy_timeout(1000)")
+// Open opens the record: a PostgreSQL database where the name is a postgres
+// URL, else a SQLite file. The SQL is the same but for the marks of arguments.
+func Open(ctx context.Context, name string) (*Store, error) {
+	driver, source := "sqlite", "file:"+name+"?_pragma=journal_mode(WAL)&_pragma=synchronous(FULL)&_pragma=busy_timeout(1000)"
+	rebind := strings.NewReplacer("$", "?").Replace
+	if strings.HasPrefix(name, "postgres://") || strings.HasPrefix(name, "postgresql://") {
+		u, err := url.Parse(name)
+		if err != nil {
+			return nil, errors.New("store: the URL is not readable") // its text may hold a password
+		}
+		// Simple queries need no statement prepared on each connection, and pass through poolers.
+		args := u.Query()
+		args.Set("default_query_exec_mode", "simple_protocol")
+		u.RawQuery = args.Encode()
+		driver, source, rebind = "pgx", u.String(), func(q string) string { return q }
+	}
+	db, err := sql.Open(driver, source)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	db.SetMaxOpenConns(1) // one writer; its descriptors are budgeted
-	s := &Store{db: db, rebind: strings.NewReplacer("$", "?").Replace}
+	s := &Store{db: db, rebind: rebind}
 	if _, err := db.ExecContext(ctx, schema); err != nil {
 		_ = db.Close()
 		return nil, fmt.Errorf("store: %w", err)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -128,7 +128,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.pool.connect)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{KeepAlive: -1} // every read has its own limit, and the calls to set it up cost
 	c, err := d.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
 		l.pool.release()
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	journalWait  = 5000 // ms; the most the service allows
-	journalSlack = 2 * time.Second
+	journalWait  = 2000        // ms; the service allows more, but a silent connection must show soon:
+	journalSlack = time.Second // what is told counts as told 7 s later, heard or not
 	journalRetry = 50 * time.Millisecond
 	journalMost  = 500 * time.Millisecond // backoff stays short: the drain rule counts from what is told
 	reconnectIn  = 250 * time.Millisecond
