--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -166,3 +166,30 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
 	eventually(t, func() bool { return strings.Contains(p.logged(), "class=trip-lookup taken=1 sent=1") })
 }
+
+// SIGHUP was not caught and ended the program. The poll at the old journal service waits: it must be cut.
+func TestSIGHUPMovesToTheNewJournalAndABadFileChangesNothing(t *testing.T) {
+	p, old, j := world(t, false)
+	c := dial(t, p.listen)
+	p.write("{")
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	p.told("not reloaded")
+	require.Contains(t, c.call(query(1, "trip-lookup", "x", 9000)), `"id":1,"result"`)
+	moved, fresh := newJournal(t), newEngine(t, false)
+	moved.add(true, server(1, old, "active"))
+	moved.add(false, server(1, old, "leaving"), server(2, fresh, "active"))
+	p.configure(moved)
+	j.silence()
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	eventually(t, func() bool { // it asks again only when it has heard the news
+		moved.mu.Lock()
+		defer moved.mu.Unlock()
+		return moved.asked > 1
+	})
+	require.Contains(t, c.call(query(2, "trip-lookup", "y", 9000)), `"id":2,"result"`)
+	require.Equal(t, 1, fresh.count(&fresh.started, "y"))
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.told("now=draining")
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	require.NoError(t, p.Wait(), "exit code 0")
+}
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -229,6 +229,7 @@
 	mu      sync.Mutex
 	entries []string
 	asked   int
+	mute    chan struct{} // once made, polls stay unanswered until it is closed
 }
 
 func newJournal(t *testing.T) *journal {
@@ -244,12 +245,31 @@
 				break
 			}
 		}
+		j.mu.Lock()
+		mute := j.mute
+		j.mu.Unlock()
+		if mute != nil {
+			<-mute
+		}
 		_, _ = io.WriteString(w, j.batch(tail))
 	}))
-	t.Cleanup(func() { j.CloseClientConnections(); j.Close() })
+	t.Cleanup(func() {
+		if j.mute != nil {
+			close(j.mute)
+		}
+		j.CloseClientConnections()
+		j.Close()
+	})
 	return j
 }
 
+// silence leaves polls waiting for as long as the test runs.
+func (j *journal) silence() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.mute = make(chan struct{})
+}
+
 func (j *journal) len() int { j.mu.Lock(); defer j.mu.Unlock(); return len(j.entries) }
 
 func (j *journal) batch(tail int) string {
@@ -329,9 +349,7 @@
 // runOn starts it with the REST front on and its record in store, unless that is empty.
 func runOn(t *testing.T, dir string, j *journal, store string) *node {
 	p := &node{t: t, dir: dir, listen: freeAddr(t), log: &bytes.Buffer{}}
-	conf := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"journal":%q,"known":%s,"settings":%s}`,
-		p.listen, j.Listener.Addr(), j.batch(0), settings)
-	require.NoError(t, os.WriteFile(filepath.Join(dir, "config.json"), []byte(conf), 0o600))
+	p.configure(j)
 	if store != "" {
 		p.rest = freeAddr(t)
 		require.NoError(t, os.MkdirAll(filepath.Join(dir, "deploy"), 0o700))
@@ -355,6 +373,22 @@
 	return p
 }
 
+// configure writes the configuration with j for its journal service.
+func (p *node) configure(j *journal) {
+	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"journal":%q,"known":%s,"settings":%s}`,
+		p.listen, j.Listener.Addr(), j.batch(0), settings))
+}
+
+func (p *node) write(conf string) {
+	require.NoError(p.t, os.WriteFile(filepath.Join(p.dir, "config.json"), []byte(conf), 0o600))
+}
+
+// told waits for a line of the log.
+func (p *node) told(text string) {
+	p.t.Helper()
+	eventually(p.t, func() bool { return strings.Contains(p.logged(), text) })
+}
+
 func (p *node) kill() {
 	_ = p.Process.Signal(syscall.SIGKILL)
 	_ = p.Wait()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -8,6 +8,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 // Program is one coordinator.
 type Program struct {
 	phase  atomic.Int32
+	since  time.Time // when it entered the phase
 	conf   *config
 	log    *slog.Logger
 	errOut io.Writer
@@ -69,29 +71,46 @@
 // Run is the whole life of the program; it returns the exit code.
 func Run(errOut io.Writer) int {
 	p := &Program{errOut: errOut, log: slog.New(slog.NewTextHandler(errOut, nil))}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	// Each kind of signal has a place of its own, from before the start: what comes early waits,
+	// and a burst of one kind can't crowd out another.
+	end, reload, print := notified(syscall.SIGTERM, syscall.SIGINT), notified(syscall.SIGHUP), notified(syscall.SIGUSR1)
 	if err := p.start(); err != nil {
 		fmt.Fprintln(errOut, "aniseloft:", err)
 		return 1
 	}
 	p.enter(Serving)
-	for s := range signals {
-		if s == syscall.SIGUSR1 {
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for p.Phase() != Stopped {
+		select {
+		case <-end: // a second one changes nothing
+			if p.Phase() == Serving {
+				p.enter(Draining)
+			}
+		case <-reload:
+			p.reload()
+		case <-print:
 			p.print()
-			continue
+		case <-tick.C:
+			if p.drained() {
+				p.close()
+				p.enter(Stopped)
+			}
 		}
-		break
 	}
-	p.enter(Draining)
-	p.drain(signals)
-	p.enter(Stopped)
 	p.print()
 	return 0
 }
 
+func notified(of ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, of...)
+	return c
+}
+
 func (p *Program) enter(to Phase) {
 	p.phase.Store(int32(to))
+	p.since = time.Now()
 	p.log.Info("phase", "now", to.String())
 }
 
@@ -189,35 +208,41 @@
 	return p.core.Open() == 0 && time.Since(p.core.LastTaken()) >= drainQuiet && (p.rest == nil || p.rest.Live() == 0)
 }
 
-// drain keeps taking and answering for as long as the platform sends, then
-// finishes what is open. A second signal changes nothing.
-func (p *Program) drain(signals <-chan os.Signal) {
-	began := time.Now()
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
-	for {
-		select {
-		case s := <-signals:
-			if s == syscall.SIGUSR1 {
-				p.print()
-			}
-		case <-tick.C:
-			if time.Since(began) >= drainLeast && p.idle() {
-				p.front.Close()
-				if p.restFront != nil {
-					p.restFront.Close()
-				}
-				p.stop()
-				if p.store != nil {
-					if err := p.store.Close(); err != nil {
-						p.log.Warn("record not closed", "err", err)
-					}
-				}
-				return
-			}
+// drained tells whether the program, once told to end, has taken for as long as
+// the platform sends and finished what was open.
+func (p *Program) drained() bool {
+	return p.Phase() == Draining && time.Since(p.since) >= drainLeast && p.idle()
+}
+
+// close ends the parts in the order in which they feed each other.
+func (p *Program) close() {
+	p.front.Close()
+	if p.restFront != nil {
+		p.restFront.Close()
+	}
+	p.stop()
+	if p.store != nil {
+		if err := p.store.Close(); err != nil {
+			p.log.Warn("record not closed", "err", err)
 		}
 	}
 }
 
+// reload reads the configuration again and moves to the journal service that it
+// names. A file that can't be used changes nothing; it must not end what serves.
+func (p *Program) reload() {
+	c, err := load()
+	if err != nil {
+		p.log.Error("configuration not reloaded, the old one stays", "err", err)
+		return
+	}
+	if !reflect.DeepEqual(c.settings, p.conf.settings) || c.Limits != p.conf.Limits || c.Listen != p.conf.Listen {
+		p.log.Warn("only the journal's address is reloaded: other changes need a restart")
+	}
+	p.conf.Journal = c.Journal
+	p.roster.Move(c.Journal)
+	p.log.Info("configuration reloaded", "journal", c.Journal)
+}
+
 // print writes the counters.
 func (p *Program) print() { _, _ = io.WriteString(p.errOut, p.core.Counts.String()+p.pool.String()) }
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -12,6 +12,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -39,7 +40,9 @@
 
 // Roster follows the journal service.
 type Roster struct {
-	addr string
+	mu   sync.Mutex
+	addr string             // of the journal service
+	cut  context.CancelFunc // ends what is under way at that address
 	set  decide.Settings
 	tail int64
 	core *routing.Core
@@ -81,31 +84,54 @@
 	r.core.List(decide.ListCached, members)
 }
 
+// Move goes on at another address at once. The old service tells nothing more, so
+// a poll that waits there would leave a drain unheard until its end.
+func (r *Roster) Move(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addr = addr
+	if r.cut != nil {
+		r.cut()
+	}
+}
+
+// here is the address to ask, and a context that ends once it is another.
+func (r *Roster) here(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, cut := context.WithCancel(ctx)
+	r.cut = cut
+	return r.addr, at, cut
+}
+
 // Run keeps a long poll up until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	wait := journalRetry
 	for ctx.Err() == nil {
-		heard, err := r.connection(ctx)
-		if ctx.Err() != nil {
-			return
+		addr, here, cut := r.here(ctx)
+		heard, err := r.connection(here, addr)
+		if here.Err() == nil {
+			r.log.Info("journal connection lost", "err", err)
+			if heard {
+				wait = journalRetry
+			}
+			select {
+			case <-here.Done():
+			case <-time.After(wait/2 + rand.N(wait)):
+			}
+			wait = min(2*wait, journalMost)
 		}
-		if heard {
+		if here.Err() != nil {
 			wait = journalRetry
 		}
-		r.log.Info("journal connection lost", "err", err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait/2 + rand.N(wait)):
-		}
-		wait = min(2*wait, journalMost)
+		cut()
 	}
 }
 
-// connection polls on one connection until it fails.
-func (r *Roster) connection(ctx context.Context) (heard bool, err error) {
+// connection polls on one connection until it fails or ctx ends.
+func (r *Roster) connection(ctx context.Context, addr string) (heard bool, err error) {
 	d := net.Dialer{Timeout: reconnectIn * 2}
-	c, err := d.DialContext(ctx, "tcp", r.addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, err
 	}
@@ -113,7 +139,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer func() { stop(); _ = c.Close() }()
 	for poll := journal.NewPoll(); ; heard = true {
-		if err := l.write(ctx, journal.Ask(r.addr, r.tail, journalWait), time.Now().Add(journalSlack)); err != nil {
+		if err := l.write(ctx, journal.Ask(addr, r.tail, journalWait), time.Now().Add(journalSlack)); err != nil {
 			return heard, err
 		}
 		deadline := time.Now().Add(journalWait*time.Millisecond + journalSlack)
