--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
 	"io"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -60,12 +64,19 @@
 	c := dial(t, p.listen)
 	for line, code := range map[string]string{
 		`{"jsonrpc":`: "-32700", `[]`: "-32600", `{"jsonrpc":"1.0","id":1,"method":"alive"}`: "-32600", `7`: "-32600",
-		`{"jsonrpc":"2.0","method":"trip-lookup"}`:                                                       "-32600",
-		query(3, "no-such-class", "x", 100):                                                              "-32601",
-		`{"jsonrpc":"2.0","id":4,"method":"trip-lookup","params":{"call":"1","ttl":-4,"doc":""}}`:        "-32602",
-		`{"jsonrpc":"2.0","id":5,"method":"trip-lookup","params":{"call":"a\r\nX: y","ttl":4,"doc":""}}`: "-32602",
-		`{"jsonrpc":"2.0","id":6,"method":"trip-lookup","params":{"call":"1","ttl":1e300,"doc":"*"}}`:    "-32602",
-		`{"jsonrpc":"2.0","id":7,"method":"trip-lookup","params":[` + strings.Repeat("[", 20000) + `]}`:  "-32700",
+		`{"jsonrpc":"2.0","method":"trip-lookup"}`:                                                      "-32600",
+		query(3, "no-such-class", "x", 100):                                                             "-32601",
+		query(4, "trip-lookup", "x", -4):                                                                "-32602",
+		query(4, "trip-lookup", "x", 10002):                                                             "-32602", // the class's deadline
+		query(0, "trip-lookup", "x", 100):                                                               "-32600",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"id":5`, `"id":"5"`, 1):                     "-32600",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"call":"`, `"call":"a\r\nX: y`, 1):          "-32602",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"doc":"`, `"doc":"*`, 1):                    "-32602",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"work":500`, `"work":1e15`, 1):              "-32602",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"work":500`, `"work":null`, 1):              "-32602",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"work":500`, `"work":1e999`, 1):             "-32600",
+		strings.Replace(query(5, "trip-lookup", "x", 100), `"ram":4`, `"ram":9e9`, 1):                   "-32602",
+		`{"jsonrpc":"2.0","id":7,"method":"trip-lookup","params":[` + strings.Repeat("[", 20000) + `]}`: "-32700",
 	} {
 		require.Contains(t, c.call(line), `"code":`+code, line)
 	}
@@ -75,14 +86,100 @@
 	require.Error(t, err, "an overlong line ends the connection")
 }
 
-// A second open request under the id of the first must not lead to two answers for it.
-func TestAnIDInUseIsNotTakenTwice(t *testing.T) {
+// Of two open requests under one id the client could not tell which was answered: neither is served.
+func TestTwoRequestsUnderOneIDGetOneError(t *testing.T) {
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	c.send(query(1, "trip-lookup", "stay", 9000))
-	require.Contains(t, c.call(query(1, "trip-lookup", "x", 9000)), `"id":null`)
+	eventually(t, func() bool { return e.count(&e.started, "stay") == 1 })
+	require.Contains(t, c.call(query(1, "trip-lookup", "x", 9000)), `"id":1,"error":{"code":-32600`)
+	eventually(t, func() bool { return e.count(&e.ended, "stay") == 1 })
+	require.Contains(t, c.call(query(2, "trip-lookup", "y", 9000)), `"id":2,"result"`, "no second answer came between")
+	require.Zero(t, e.count(&e.started, "x"))
+}
+
+// Engines know a query by its call: under one that is open, the first's result went to the second.
+func TestACallInUseIsNotTakenTwiceOnAnyConnection(t *testing.T) {
+	p, e, _ := world(t, false)
+	c, d := dial(t, p.listen), dial(t, p.listen)
+	first := query(1, "trip-lookup", "stay", 9000)
+	c.send(first)
+	eventually(t, func() bool { return e.count(&e.started, "stay") == 1 })
+	other := strings.Replace(first, base64.StdEncoding.EncodeToString([]byte("stay")), "eA==", 1)
+	require.Contains(t, d.call(other), `"code":-32001`)
+	require.Zero(t, e.count(&e.started, "x"))
 	close(e.release)
 	require.Contains(t, c.line(), `"id":1,"result"`)
+	require.Contains(t, d.call(strings.Replace(other, `"id":1`, `"id":2`, 1)), `"id":2,"result"`, "it is free again")
+}
+
+// Clients that keep their connection for good once filled all slots, and others waited unread in the backlog.
+func TestClientsThatHoldOrSayNothingKeepNobodyOut(t *testing.T) {
+	p, _, _ := world(t, true)
+	for range 40 { // of 64 descriptors, 21 are for clients
+		require.Contains(t, dial(t, p.listen).call(query(1, "trip-lookup", "x", 9000)), `"id":1,"result"`)
+		dial(t, p.listen)
+	}
+	for range 10 { // the second front has 5
+		dial(t, p.rest)
+		require.Equal(t, 200, p.post("trip-lookup", "", "x").status)
+	}
+}
+
+func TestWhatSendsNoWholeMessageIsClosed(t *testing.T) {
+	p, _, _ := world(t, true)
+	for addr, text := range map[string]string{p.listen: `{"jsonrpc":"2.0",`, p.rest: "POST /v1/statement HTTP/1.1\r\nContent-Length: 9\r\n\r\nsel"} {
+		for _, first := range []string{"", text} {
+			c := dial(t, addr)
+			_, _ = io.WriteString(c, first)
+			_, err := c.r.ReadByte()
+			require.Error(t, err)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%s %q", addr, first)
+		}
+	}
+}
+
+// Lines that never end, from all clients at once, passed the memory limit.
+func TestEndlessLinesStayWithinTheMemory(t *testing.T) {
+	if len(buildFlags) > 0 {
+		t.Skip("the race detector's own memory is many times the program's")
+	}
+	p, _, _ := world(t, false)
+	var held []*client
+	for range 200 {
+		c := dial(t, p.listen)
+		_, _ = io.WriteString(c, strings.Repeat("x", 250<<10))
+		held = append(held, c)
+	}
+	require.Contains(t, dial(t, p.listen).call(query(1, "trip-lookup", "x", 9000)), `"id":1,"result"`)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	require.NoError(t, err)
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	var kb int
+	_, err = fmt.Sscan(peak, &kb)
+	require.NoError(t, err)
+	require.Less(t, kb, 32<<10, "of 32 MB, with %d clients", len(held))
+}
+
+var spoils = []string{"interim", "copy", "noise", "shorter", "boundary", "cut", "stopped", "replaced", "head", "misnumbered", "endless", "huge", "reset", "never"}
+
+// A spoilt answer failed its query at once, and what was left behind a good one was taken
+// for the next page. Asking again starts nothing, so it is done for loads too.
+func TestSpoiltAnswersAreAskedForAgain(t *testing.T) {
+	p, e, _ := world(t, false)
+	c := dial(t, p.listen)
+	statement := func(i int) string { return fmt.Sprintf("insert into sales_%d.x -- rows 3 spoil %s", i, spoils[i]) }
+	for i := range spoils {
+		c.send(query(i+1, "timetable-load", statement(i), 9500))
+	}
+	for range spoils {
+		line := c.line()
+		var a struct{ ID int }
+		require.NoError(t, json.Unmarshal([]byte(line), &a))
+		require.Contains(t, line, "result", spoils[a.ID-1])
+		require.Equal(t, strings.Join(rowsOf("rows 3"), ""), served(t, line), spoils[a.ID-1])
+		require.Equal(t, 1, e.count(&e.started, statement(a.ID-1)))
+	}
 }
 
 func TestCancelAndLostClientReachTheEngine(t *testing.T) {
@@ -164,7 +261,7 @@
 	c := dial(t, p.listen)
 	c.call(query(1, "trip-lookup", "x", 9000))
 	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
-	eventually(t, func() bool { return strings.Contains(p.logged(), "class=trip-lookup taken=1 sent=1") })
+	p.told("class=trip-lookup taken=1 sent=1")
 }
 
 // SIGHUP was not caught and ended the program. The poll at the old journal service waits: it must be cut.
--- a/cmd/aniseloft/rest_test.go
+++ b/cmd/aniseloft/rest_test.go
@@ -136,6 +136,20 @@
 	require.Equal(t, 1, e.count(&e.started, statement))
 }
 
+// The other engine driver has the same guards; before its first answer there is no address to ask at.
+func TestSpoiltAnswersOfRestEnginesAreAskedForAgain(t *testing.T) {
+	e, j := newEngine(t, true), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	p := run(t, t.TempDir(), j, true)
+	c := dial(t, p.listen)
+	for i, kind := range []string{"interim", "copy", "noise", "shorter", "cut", "stopped", "replaced", "head", "endless", "huge", "reset"} {
+		c.send(query(i+1, "timetable-load", fmt.Sprintf("insert into sales_%d.x -- rows 2 spoil %s", i, kind), 9500))
+	}
+	for range 11 {
+		require.Equal(t, strings.Join(rowsOf("rows 2"), ""), served(t, c.line()))
+	}
+}
+
 func TestALoadNeverRunsTwiceOverResendsAndAKill(t *testing.T) {
 	p, e, j := world(t, true)
 	first := p.post("timetable-load", "k1", "done")
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -46,7 +46,8 @@
 }
 
 // engine stands in for an engine of either protocol. What a statement says decides its fate:
-// "fail", "full", "stay" (until given up), "rows N" (N rows of 4,000 bytes); else one row.
+// "fail", "full", "stay" (until given up), "rows N" (N pages of two rows); else one row. Of
+// "spoil KIND" each page comes spoilt in that way the first time that it is asked for.
 type engine struct {
 	*httptest.Server
 	mu                   sync.Mutex
@@ -54,16 +55,24 @@
 	running              map[string]int
 	release              chan struct{} // closing it ends what stays
 	headers              []http.Header
+	asked                map[string]bool
+	taken                []net.Conn // from the server, by spoilt answers
 }
 
 func newEngine(t *testing.T, rest bool) *engine {
-	e := &engine{started: map[string]int{}, ended: map[string]int{}, most: map[string]int{}, running: map[string]int{}, release: make(chan struct{})}
+	e := &engine{started: map[string]int{}, ended: map[string]int{}, most: map[string]int{}, running: map[string]int{}, asked: map[string]bool{}, release: make(chan struct{})}
 	h := e.paged
 	if rest {
 		h = e.rest
 	}
 	e.Server = httptest.NewServer(http.HandlerFunc(h))
-	t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
+	t.Cleanup(func() {
+		for _, c := range e.taken {
+			c.Close()
+		}
+		e.CloseClientConnections()
+		e.Close()
+	})
 	return e
 }
 
@@ -101,7 +110,7 @@
 	}
 	var out []string
 	for i := range n {
-		out = append(out, fmt.Sprintf("%d\t%s\tz\n", i, strings.Repeat("x", 4000)))
+		out = append(out, fmt.Sprintf("%d\t%s\tz\n%d\ty\tz\n", i, strings.Repeat("x", 4000), i))
 	}
 	return out
 }
@@ -169,7 +178,77 @@
 		} else {
 			w.Header().Set("X-Batch", fmt.Sprint(page))
 		}
-		_, _ = io.WriteString(w, rows[page])
+		e.write(w, s, id, page, rows[page])
+	}
+}
+
+// write sends a good answer or, the first time, what its statement says of it.
+func (e *engine) write(w http.ResponseWriter, s, id string, page int, body string) {
+	var kind string
+	if i := strings.Index(s, "spoil "); i >= 0 {
+		_, _ = fmt.Sscan(s[i+6:], &kind)
+	}
+	e.mu.Lock()
+	again := e.asked[id+fmt.Sprint(page)]
+	e.asked[id+fmt.Sprint(page)] = true
+	e.mu.Unlock()
+	if kind == "interim" {
+		w.WriteHeader(http.StatusEarlyHints)
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+	if kind == "" || kind == "interim" || again {
+		_, _ = io.WriteString(w, body)
+		return
+	}
+	head := func(length int) string {
+		var b strings.Builder
+		_ = w.Header().Write(&b)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", b.String(), length)
+	}
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.taken = append(e.taken, c)
+	e.mu.Unlock()
+	forever := func(start, more string) {
+		_, err := io.WriteString(c, start)
+		for n := 0; err == nil && n < 4<<20; n += len(more) {
+			_, err = io.WriteString(c, more)
+		}
+	}
+	good, half := head(len(body))+body, body[:len(body)/2]
+	_, rest, _ := strings.Cut(body, "\n")
+	switch kind {
+	case "copy":
+		_, _ = io.WriteString(c, good+good)
+	case "noise":
+		_, _ = io.WriteString(c, good+"\x00\x17 noise")
+	case "shorter":
+		_, _ = io.WriteString(c, head(len(half))+body)
+	case "boundary":
+		_, _ = io.WriteString(c, head(len(body)-len(rest))+body)
+	case "cut":
+		_, _ = io.WriteString(c, head(len(body))+half)
+		c.Close()
+	case "stopped":
+		_, _ = io.WriteString(c, head(len(body))+half)
+	case "replaced":
+		_, _ = io.WriteString(c, head(12)+"\x01\xff\x02 noise\n\n")
+	case "head":
+		_, _ = io.WriteString(c, "HTP 2oo \x01\r\n:\r\n\r\n"+body)
+	case "misnumbered":
+		w.Header().Set("X-Batch", "77")
+		w.Header().Set("X-Batches", "many")
+		_, _ = io.WriteString(c, head(len(body))+body)
+	case "endless":
+		forever("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n")
+	case "huge":
+		forever(head(3000000000), body)
+	case "reset":
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
 	}
 }
 
@@ -218,8 +297,12 @@
 		} else {
 			e.stop(s)
 		}
-		data, _ := json.Marshal([][]string{strings.Split(strings.TrimSuffix(rows[page], "\n"), "\t")})
-		fmt.Fprintf(w, `{"id":"x",%s"data":%s,"stats":{"state":"RUNNING","cpuTimeMillis":500,"peakMemoryBytes":4194304}}`, next, data)
+		var split [][]string
+		for _, row := range strings.Split(strings.TrimSuffix(rows[page], "\n"), "\n") {
+			split = append(split, strings.Split(row, "\t"))
+		}
+		data, _ := json.Marshal(split)
+		e.write(w, s, part[4], page, fmt.Sprintf(`{"id":"x",%s"data":%s,"stats":{"state":"RUNNING","cpuTimeMillis":500,"peakMemoryBytes":4194304}}`, next, data))
 	}
 }
 
@@ -375,7 +458,7 @@
 
 // configure writes the configuration with j for its journal service.
 func (p *node) configure(j *journal) {
-	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"journal":%q,"known":%s,"settings":%s}`,
+	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":32,"sockets":64},"journal":%q,"known":%s,"settings":%s}`,
 		p.listen, j.Listener.Addr(), j.batch(0), settings))
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -46,6 +46,8 @@
 	memoryShare    = 0.75
 	gcPercent      = 400
 	outShare       = 0.88
+	inShare        = 1.0 / 16 // of the memory, for unfinished messages of all clients of a front
+	outQueueShare  = 1.0 / 8  // of the memory, for answers that clients have yet to read
 	storeStart     = 10 * time.Second
 )
 
@@ -156,7 +158,8 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
-	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: func() bool { return p.Phase() == Serving }}
+	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: func() bool { return p.Phase() == Serving },
+		In: p.budget(inShare), Out: p.budget(outQueueShare)}
 	if p.front, err = transport.Listen(p.conf.Listen, clients-restClients, p.log, clientFront.Serve); err != nil {
 		return err
 	}
@@ -177,6 +180,11 @@
 	return nil
 }
 
+// budget is a share of the memory that the configuration allows.
+func (p *Program) budget(share float64) *transport.Budget {
+	return transport.NewBudget(int64(float64(p.conf.Limits.MemoryMB<<20) * share))
+}
+
 // startRest opens the record and the second front; what an earlier process
 // left unfinished has ended before any client can ask for it.
 func (p *Program) startRest(ctx context.Context, c restConfig, limit int) error {
@@ -187,7 +195,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Keep: time.Duration(c.KeepSeconds) * time.Second,
-		Pass: func() bool { return p.Phase() == Serving }, Log: p.log}
+		Pass: func() bool { return p.Phase() == Serving }, In: p.budget(inShare), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
 	}
@@ -245,4 +253,10 @@
 }
 
 // print writes the counters.
-func (p *Program) print() { _, _ = io.WriteString(p.errOut, p.core.Counts.String()+p.pool.String()) }
+func (p *Program) print() {
+	text := p.core.Counts.String() + p.pool.String() + p.front.String()
+	if p.restFront != nil {
+		text += p.restFront.String()
+	}
+	_, _ = io.WriteString(p.errOut, text)
+}
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -3,11 +3,13 @@
 package engine
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"aniseloft/internal/protocol/httpmsg"
 )
@@ -15,9 +17,16 @@
 // What a result may hold: the protocol's limits.
 const (
 	MaxResult = 48000
+	maxPage   = 6000
 	maxPages  = 4096
+	maxBody   = 16 << 10 // of any answer: a page, or a line of text
+	columns   = 3
 )
 
+// ErrSpoilt says that an answer is not what was asked for, so nothing is known by
+// it: Resume asks for it again.
+var ErrSpoilt = errors.New("engine: spoilt answer")
+
 // End is how a query ended.
 type End int
 
@@ -47,6 +56,14 @@
 	Why      string
 }
 
+// Step is what follows from what an engine sent.
+type Step struct {
+	Out    []byte  // to be written next on this connection
+	Result *Result // the end
+	Keep   bool    // with the end: the connection can carry another call
+	Fresh  bool    // Resume asks on; this connection is of no more use
+}
+
 type state int
 
 const (
@@ -69,7 +86,7 @@
 
 // NewQuery returns a query that has not begun.
 func NewQuery(host string, s Start) *Query {
-	return &Query{host: host, start: s, http: httpmsg.NewResponses(httpmsg.MaxBody)}
+	return &Query{host: host, start: s, http: httpmsg.NewResponses(maxBody)}
 }
 
 // Begin gives the bytes that start the query.
@@ -91,7 +108,7 @@
 // Resume gives the bytes that ask again on a new connection for what was asked
 // last: no connection owns a query, and asking starts nothing.
 func (q *Query) Resume() []byte {
-	q.http = httpmsg.NewResponses(httpmsg.MaxBody)
+	q.http = httpmsg.NewResponses(maxBody)
 	if q.state == starting {
 		q.state = running
 	}
@@ -102,68 +119,110 @@
 	return httpmsg.AppendRequest(nil, "GET", "/data/"+q.start.Call+"/"+strconv.Itoa(q.page), q.host, nil, nil)
 }
 
-// Feed takes bytes from the engine. It returns what to write next, or the
-// result; keep tells whether the connection can carry another call.
-func (q *Query) Feed(b []byte) (out []byte, res *Result, keep bool, err error) {
+// Feed takes bytes from the engine and tells what follows; an empty step asks
+// for more bytes. After an error Resume can ask again.
+func (q *Query) Feed(b []byte) (Step, error) {
 	if q.state == ended {
-		return nil, nil, false, errors.New("engine: bytes after the end")
+		return Step{}, errors.New("engine: bytes after the end")
 	}
 	q.http.Feed(b)
-	msg, err := q.http.Next()
-	if err != nil || msg == nil {
-		return nil, nil, false, err
+	m, err := q.http.Next()
+	if err != nil || m == nil {
+		return Step{}, err
 	}
-	out, res = q.answer(msg)
-	if res != nil {
+	clean := !m.Close && q.http.Idle()
+	res, err := q.answer(m, q.http.Rest())
+	switch {
+	case err != nil:
+		return Step{}, err
+	case res != nil:
 		q.state = ended
+		return Step{Result: res, Keep: clean}, nil
+	case !clean:
+		// What is left behind an answer, such as a second copy, would be taken for the next one.
+		return Step{Fresh: true}, nil
 	}
-	return out, res, !msg.Close && q.http.Idle(), nil
+	return Step{Out: q.ask()}, nil
 }
 
-func (q *Query) answer(m *httpmsg.Message) ([]byte, *Result) {
+// answer takes a whole answer and what has come behind it; the result is nil
+// while there is more to ask for.
+func (q *Query) answer(m *httpmsg.Message, behind []byte) (*Result, error) {
 	if q.state == paging {
-		return q.nextPage(m)
+		return q.nextPage(m, behind)
 	}
 	q.result.Report = m.Header.Get("Load-Report")
 	switch {
 	case m.Status == 202:
 		q.state = running
-		return q.ask(), nil
+		return nil, nil
 	case m.Status == 200:
-		q.result.Work = figure(m, "X-Spent")
-		q.result.MemoryMB = figure(m, "X-Wanted")
 		n, err := strconv.Atoi(strings.TrimSpace(m.Header.Get("X-Batches")))
 		if err != nil || n < 0 || n > maxPages {
-			return nil, q.end(Failed, "number of pages unreadable")
+			return nil, fmt.Errorf("%w: number of pages", ErrSpoilt)
 		}
-		q.pages, q.state = n, paging
-		return q.take(m)
+		q.result.Work = figure(m, "X-Spent")
+		q.result.MemoryMB = figure(m, "X-Wanted")
+		q.pages = n
+		return q.take(m, behind)
+	case m.Status == 500:
+		return q.end(Failed, "status 500"), nil
 	case m.Header.Get("Never-Ran") == "1" && m.Status == 503:
-		return nil, q.end(Full, "full")
+		return q.end(Full, "full"), nil
 	case m.Header.Get("Never-Ran") == "1" && m.Status == 504:
-		return nil, q.end(Over, "over already")
+		return q.end(Over, "over already"), nil
 	}
-	return nil, q.end(Failed, fmt.Sprintf("status %d", m.Status))
+	return nil, fmt.Errorf("%w: status %d", ErrSpoilt, m.Status)
 }
 
 // nextPage checks that a page is the one asked for: a page out of its place
 // would make a result that no engine made.
-func (q *Query) nextPage(m *httpmsg.Message) ([]byte, *Result) {
+func (q *Query) nextPage(m *httpmsg.Message, behind []byte) (*Result, error) {
+	if m.Status == 500 {
+		return q.end(Failed, fmt.Sprintf("page %d lost", q.page)), nil
+	}
 	if m.Status != 200 || strings.TrimSpace(m.Header.Get("X-Batch")) != strconv.Itoa(q.page) {
-		return nil, q.end(Failed, fmt.Sprintf("page %d lost: status %d", q.page, m.Status))
+		return nil, fmt.Errorf("%w: not page %d", ErrSpoilt, q.page)
 	}
-	return q.take(m)
+	return q.take(m, behind)
 }
 
-func (q *Query) take(m *httpmsg.Message) ([]byte, *Result) {
+func (q *Query) take(m *httpmsg.Message, behind []byte) (*Result, error) {
+	if err := whole(m.Body); err != nil {
+		return nil, err
+	}
+	if firstRow, _, _ := bytes.Cut(behind, []byte("\n")); IsRow(firstRow) {
+		return nil, fmt.Errorf("%w: longer than its length", ErrSpoilt)
+	}
 	if len(q.result.Body)+len(m.Body) > MaxResult {
-		return nil, q.end(Failed, "result too large")
+		return q.end(Failed, "result too large"), nil
 	}
+	q.state = paging
 	q.result.Body = append(q.result.Body, m.Body...)
 	if q.page++; q.page < q.pages {
-		return q.ask(), nil
+		return nil, nil
+	}
+	return q.end(Served, ""), nil
+}
+
+// whole checks that a page is whole rows. Bytes spoilt on the way that are passed
+// on would make a result that no engine made.
+func whole(page []byte) error {
+	if len(page) > maxPage || len(page) > 0 && page[len(page)-1] != '\n' {
+		return fmt.Errorf("%w: no whole page", ErrSpoilt)
 	}
-	return nil, q.end(Served, "")
+	for row := range bytes.Lines(page) {
+		if !IsRow(row) {
+			return fmt.Errorf("%w: no row", ErrSpoilt)
+		}
+	}
+	return nil
+}
+
+// IsRow tells whether text is a row of a result, with or without its line feed.
+func IsRow(b []byte) bool {
+	return bytes.Count(b, []byte("\t")) == columns-1 && bytes.IndexByte(b, 0) < 0 && utf8.Valid(b) &&
+		bytes.IndexByte(bytes.TrimSuffix(b, []byte("\n")), '\n') < 0
 }
 
 func (q *Query) end(e End, why string) *Result {
@@ -199,7 +258,7 @@
 type Single struct{ http *httpmsg.Machine }
 
 // NewSingle returns a machine for the answer to one call.
-func NewSingle() *Single { return &Single{httpmsg.NewResponses(httpmsg.MaxBody)} }
+func NewSingle() *Single { return &Single{httpmsg.NewResponses(maxBody)} }
 
 // Feed takes bytes; status is 0 until the answer is whole.
 func (s *Single) Feed(b []byte) (status int, report string, keep bool, err error) {
--- a/internal/protocol/httpmsg/httpmsg.go
+++ b/internal/protocol/httpmsg/httpmsg.go
@@ -17,6 +17,8 @@
 const (
 	MaxHead = 16 << 10
 	MaxBody = 1 << 20
+
+	maxInterim = 8 // 1xx heads in front of an answer
 )
 
 // Errors of framing; after any of them the connection is of no more use.
@@ -47,7 +49,6 @@
 	readingChunkSize
 	readingChunk
 	readingTrailer
-	readingToEnd
 	broken
 )
 
@@ -59,6 +60,7 @@
 	buf       []byte
 	msg       *Message
 	left      int
+	skipped   int // 1xx heads in front of the message to come
 	err       error
 }
 
@@ -74,14 +76,8 @@
 // Idle tells whether nothing of a message has come yet.
 func (m *Machine) Idle() bool { return m.phase == readingHead && len(m.buf) == 0 }
 
-// End tells that the stream has ended: a response without a length ends with it.
-func (m *Machine) End() (*Message, error) {
-	if m.phase == readingToEnd {
-		m.msg.Body, m.buf = m.buf, nil
-		return m.done(), nil
-	}
-	return nil, ErrMalformed
-}
+// Rest is what has come behind the last message that Next returned.
+func (m *Machine) Rest() []byte { return m.buf }
 
 // Next returns the next whole message, or nil while more bytes are needed.
 func (m *Machine) Next() (*Message, error) {
@@ -147,11 +143,6 @@
 			return m.done(), false, nil
 		}
 		return nil, false, nil
-	case readingToEnd:
-		if len(m.buf) > m.maxBody {
-			return nil, false, ErrTooLarge
-		}
-		return nil, true, nil
 	}
 	return nil, false, ErrMalformed
 }
@@ -232,6 +223,9 @@
 // framing finds out how the body ends. Two lengths, or a length beside chunks,
 // are refused: parties that read them differently could be played off.
 func (m *Machine) framing() (*Message, bool, error) {
+	if m.responses && m.msg.Status < 200 {
+		return nil, false, m.interim()
+	}
 	lengths, te := m.msg.Header["Content-Length"], m.msg.Header["Transfer-Encoding"]
 	switch {
 	case len(te) > 0:
@@ -248,17 +242,27 @@
 			return nil, false, ErrTooLarge
 		}
 		m.phase, m.left = readingBody, int(n)
-	case !m.responses || m.msg.Status == 204 || m.msg.Status == 304 || m.msg.Status < 200:
+	case !m.responses || m.msg.Status == 204 || m.msg.Status == 304:
 		return m.done(), false, nil
-	default:
-		m.phase, m.msg.Close = readingToEnd, true
+	default: // its end would be the connection's: whether it is whole could not be told
+		return nil, false, fmt.Errorf("%w: no length", ErrMalformed)
 	}
 	return nil, false, nil
 }
 
+// interim passes over a 1xx head: the answer is still to come. Nothing here asks
+// for another protocol, so 101 is no answer at all.
+func (m *Machine) interim() error {
+	if m.skipped++; m.msg.Status == 101 || m.skipped > maxInterim {
+		return fmt.Errorf("%w: status %d", ErrMalformed, m.msg.Status)
+	}
+	m.msg = nil
+	return nil
+}
+
 func (m *Machine) done() *Message {
 	msg := m.msg
-	m.msg, m.left, m.phase = nil, 0, readingHead
+	m.msg, m.left, m.phase, m.skipped = nil, 0, readingHead, 0
 	if len(m.buf) == 0 {
 		m.buf = nil
 	}
@@ -268,18 +272,6 @@
 // Field is one header of a message to be written.
 type Field struct{ Name, Value string }
 
-// Clean tells whether a text may stand in a header or a path as it is.
-func Clean(s string) bool {
-	for i := 0; i < len(s); i++ {
-		c := s[i]
-		ok := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.'
-		if !ok {
-			return false
-		}
-	}
-	return len(s) > 0 && len(s) <= 64
-}
-
 // AppendRequest writes a request.
 func AppendRequest(b []byte, method, target, host string, fields []Field, body []byte) []byte {
 	b = append(b, method...)
--- a/internal/protocol/jsonrpc/jsonrpc.go
+++ b/internal/protocol/jsonrpc/jsonrpc.go
@@ -5,22 +5,18 @@
 import (
 	"bytes"
 	"encoding/base64"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
 
 	jsoniter "github.com/json-iterator/go"
-
-	"aniseloft/internal/protocol/httpmsg"
 )
 
 // MaxLine bounds what one message may hold.
 const MaxLine = 256 << 10
 
-// MaxTTL bounds a deadline, in milliseconds: an hour.
-const MaxTTL = 3600e3
-
 // The standard's errors, and the platform's.
 const (
 	CodeParse    = -32700
@@ -56,7 +52,13 @@
 )
 
 // Machine cuts the bytes of one connection into messages.
-type Machine struct{ buf []byte }
+type Machine struct {
+	buf  []byte // an unfinished line
+	seen int    // of it that holds no end
+}
+
+// Held is how many bytes of an unfinished message it holds.
+func (m *Machine) Held() int { return len(m.buf) }
 
 // Feed takes bytes and returns the messages that they complete.
 func (m *Machine) Feed(b []byte) ([]any, error) {
@@ -64,21 +66,25 @@
 	var out []any
 	rest := m.buf
 	for {
-		i := bytes.IndexByte(rest, '\n')
-		if i > MaxLine || i < 0 && len(rest) > MaxLine {
+		i := bytes.IndexByte(rest[m.seen:], '\n') + m.seen
+		if i < m.seen {
+			m.seen = len(rest)
+		}
+		if i > MaxLine || len(rest) > MaxLine && m.seen == len(rest) {
 			return out, ErrLineTooLong
 		}
-		if i < 0 {
+		if m.seen == len(rest) {
 			break
 		}
 		line := bytes.TrimSpace(rest[:i])
-		if rest = rest[i+1:]; len(line) > 0 {
+		if rest, m.seen = rest[i+1:], 0; len(line) > 0 {
 			out = append(out, message(line))
 		}
 	}
-	if len(rest) == 0 {
+	switch {
+	case len(rest) == 0:
 		m.buf = nil
-	} else {
+	case len(rest) < len(m.buf): // a long line is not copied anew with each read
 		m.buf = append(m.buf[:0:0], rest...)
 	}
 	return out, nil
@@ -94,8 +100,8 @@
 type params struct {
 	Call string   `json:"call"`
 	TTL  *float64 `json:"ttl"`
-	Work float64  `json:"work"`
-	RAM  float64  `json:"ram"`
+	Work *float64 `json:"work"`
+	RAM  *float64 `json:"ram"`
 	Doc  *string  `json:"doc"`
 }
 
@@ -127,14 +133,11 @@
 	if len(e.Params) == 0 || codec.Unmarshal(e.Params, &p) != nil {
 		return bad(id, CodeParams, "invalid params")
 	}
-	r := Request{ID: id, Method: *e.Method, Call: p.Call, Work: p.Work, RAM: p.RAM}
 	switch {
-	case !httpmsg.Clean(p.Call):
+	case !callOK(p.Call):
 		return bad(id, CodeParams, "invalid params: call")
-	case p.TTL == nil || !(*p.TTL > 0 && *p.TTL <= MaxTTL):
-		return bad(id, CodeParams, "invalid params: ttl")
-	case !(p.Work >= 0 && p.Work < 1e12) || !(p.RAM >= 0 && p.RAM < 1e12):
-		return bad(id, CodeParams, "invalid params: work or ram")
+	case p.TTL == nil || p.Work == nil || p.RAM == nil:
+		return bad(id, CodeParams, "invalid params: ttl, work and ram are needed")
 	case p.Doc == nil:
 		return bad(id, CodeParams, "invalid params: doc")
 	}
@@ -142,8 +145,13 @@
 	if err != nil {
 		return bad(id, CodeParams, "invalid params: doc")
 	}
-	r.TTL, r.Document = *p.TTL, doc
-	return r
+	return Request{ID: id, Method: *e.Method, Call: p.Call, TTL: *p.TTL, Work: *p.Work, RAM: *p.RAM, Document: doc}
+}
+
+// callOK takes 16 hex digits: it goes to engines in a header, unchanged.
+func callOK(call string) bool {
+	_, err := hex.DecodeString(call)
+	return err == nil && len(call) == 16
 }
 
 // cancel takes the id of the request in question from the params; a cancel is
@@ -158,12 +166,10 @@
 	return bad(id, CodeParams, "invalid params: id")
 }
 
-// idOK takes numbers and short strings; echoed as they came.
+// idOK takes whole numbers from 1 upward, as the protocol has them.
 func idOK(raw []byte) bool {
-	if len(raw) == 0 || len(raw) > 64 {
-		return false
-	}
-	return raw[0] == '"' || raw[0] == '-' || raw[0] >= '0' && raw[0] <= '9'
+	n, err := strconv.ParseInt(string(raw), 10, 64)
+	return err == nil && n > 0 && raw[0] != '+'
 }
 
 func bad(id string, code int, text string) Bad { return Bad{Error(id, code, text)} }
--- a/internal/protocol/rest/client.go
+++ b/internal/protocol/rest/client.go
@@ -8,11 +8,12 @@
 	"strings"
 	"time"
 
+	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/protocol/httpmsg"
 )
 
-// MaxResult bounds what a query at an engine may bring, as text.
-const MaxResult = 48000
+// errSpoilt says that an answer is not one of the protocol: Resume asks for it again.
+var errSpoilt = errors.New("rest: spoilt answer")
 
 // End is how a query at an engine ended.
 type End int
@@ -88,17 +89,39 @@
 	return httpmsg.AppendRequest(nil, "DELETE", q.next, q.host, nil, nil)
 }
 
-// Feed takes bytes from the engine. It returns what to write next, or the
-// outcome; keep tells whether the connection can carry another call.
-func (q *Query) Feed(b []byte) (out []byte, res *Outcome, keep bool, err error) {
+// Step is what follows from what an engine sent, as for the platform's engines.
+type Step struct {
+	Out    []byte
+	Result *Outcome
+	Keep   bool
+	Fresh  bool
+}
+
+// Feed takes bytes from the engine and tells what follows; an empty step asks
+// for more bytes. After an error Resume may be able to ask again.
+func (q *Query) Feed(b []byte) (Step, error) {
 	q.http.Feed(b)
 	m, err := q.http.Next()
 	if err != nil || m == nil {
-		return nil, nil, false, err
+		return Step{}, err
+	}
+	clean := !m.Close && q.http.Idle()
+	res, err := q.answer(m)
+	switch {
+	case err != nil:
+		return Step{}, err
+	case res != nil:
+		return Step{Result: res, Keep: clean}, nil
+	case !clean: // as at the platform's engines: what is behind would be taken for the next answer
+		return Step{Fresh: true}, nil
 	}
-	keep = !m.Close && q.http.Idle()
-	end := func(e End, why string) ([]byte, *Outcome, bool, error) {
-		return nil, &Outcome{e, q.body, q.work, q.mem, why}, keep, nil
+	return Step{Out: q.ask()}, nil
+}
+
+// answer takes a whole answer; the outcome is nil while there is more to ask for.
+func (q *Query) answer(m *httpmsg.Message) (*Outcome, error) {
+	end := func(e End, why string) (*Outcome, error) {
+		return &Outcome{e, q.body, q.work, q.mem, why}, nil
 	}
 	switch {
 	case q.next == "" && (m.Status == 429 || m.Header.Get("Never-Ran") == "1"):
@@ -107,6 +130,7 @@
 		return end(Errored, fmt.Sprintf("status %d", m.Status))
 	}
 	var r struct {
+		ID      string      `json:"id"`
 		NextURI string      `json:"nextUri"`
 		Data    [][]any     `json:"data"`
 		Error   *QueryError `json:"error"`
@@ -115,8 +139,8 @@
 			Memory float64 `json:"peakMemoryBytes"`
 		} `json:"stats"`
 	}
-	if err := codec.Unmarshal(m.Body, &r); err != nil {
-		return end(Errored, "answer unreadable")
+	if err := codec.Unmarshal(m.Body, &r); err != nil || r.ID == "" {
+		return nil, fmt.Errorf("%w: unreadable", errSpoilt)
 	}
 	if r.Error != nil {
 		if r.Error.ErrorName == ErrRefused.ErrorName {
@@ -124,31 +148,41 @@
 		}
 		return end(Errored, r.Error.ErrorName)
 	}
-	q.work, q.mem = max(q.work, r.Stats.CPU), max(q.mem, r.Stats.Memory/(1<<20))
+	var page []byte
 	for _, row := range r.Data {
+		from := len(page)
 		for i, v := range row {
 			if i > 0 {
-				q.body = append(q.body, '\t')
+				page = append(page, '\t')
 			}
 			if v != nil {
-				q.body = fmt.Append(q.body, v)
+				page = fmt.Append(page, v)
 			}
 		}
-		q.body = append(q.body, '\n')
+		if !engine.IsRow(page[from:]) { // a tab in a value would shift the columns
+			return end(Errored, "no row of the platform's")
+		}
+		page = append(page, '\n')
 	}
-	if len(q.body) > MaxResult {
+	if len(q.body)+len(page) > engine.MaxResult {
 		return end(Errored, "result too large")
 	}
-	if r.NextURI == "" {
-		return end(Served, "")
+	next := ""
+	if r.NextURI != "" {
+		var err error
+		if next, err = path(r.NextURI); err != nil {
+			return nil, fmt.Errorf("%w: %w", errSpoilt, err)
+		}
 	}
-	if q.next, err = path(r.NextURI); err != nil {
-		return end(Errored, err.Error())
+	q.work, q.mem = max(q.work, r.Stats.CPU), max(q.mem, r.Stats.Memory/(1<<20))
+	q.body, q.next = append(q.body, page...), next
+	if next == "" {
+		return end(Served, "")
 	}
 	if q.steps++; q.steps > maxSteps {
 		return end(Errored, "too many pages")
 	}
-	return q.ask(), nil, keep, nil
+	return nil, nil
 }
 
 // path keeps of an engine's next address what may be asked of that engine: an
--- a/internal/protocol/rest/rest.go
+++ b/internal/protocol/rest/rest.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Held is how many bytes of an unfinished request it holds.
+func (m *Machine) Held() int { return len(m.http.Rest()) }
+
 func request(m *httpmsg.Message) any {
 	path, _, _ := strings.Cut(m.Target, "?")
 	parts := strings.Split(strings.Trim(path, "/"), "/")
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
@@ -32,6 +33,7 @@
 	seq      atomic.Uint64
 	after    []func() // what the core's own goroutine put off until this event is done
 	requests map[decide.RequestID]*request
+	calls    map[string]struct{} // the clients' names of what is in requests
 	engines  map[decide.EngineID]*engine
 	running  sync.WaitGroup
 	open     atomic.Int64
@@ -74,7 +76,7 @@
 	}
 	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
-		requests: map[decide.RequestID]*request{}, engines: map[decide.EngineID]*engine{},
+		requests: map[decide.RequestID]*request{}, calls: map[string]struct{}{}, engines: map[decide.EngineID]*engine{},
 		Counts: newCounters(set)}
 	if set.MaxOpen > 0 {
 		c.limit = min(set.MaxOpen, maxOpen)
@@ -92,6 +94,28 @@
 	return 0, false
 }
 
+// estimateOver is how far estimates may lie above what any engine could do: they are rough.
+const estimateOver = 4
+
+// Usable tells what is wrong with a query's figures, in milliseconds and MB, beside its
+// class's own time and the largest engine. What is out of range must not reach an engine.
+func (c *Core) Usable(class int, ttl, work, memory float64) error {
+	var cores, most float64
+	for _, k := range c.set.Kinds {
+		cores, most = max(cores, k.Cores), max(most, k.MemoryMB)
+	}
+	left := c.set.Classes[class].Deadline
+	switch {
+	case !(ttl > 0 && ttl <= left+1): // whole milliseconds may be rounded up
+		return errors.New("the time to wait is out of range")
+	case !(work >= 0 && work <= estimateOver*left*cores):
+		return errors.New("the estimated work is out of range")
+	case !(memory >= 0 && (most == 0 || memory <= estimateOver*most)):
+		return errors.New("the estimated memory is out of range")
+	}
+	return nil
+}
+
 // Settings are what the core was made with.
 func (c *Core) Settings() decide.Settings { return c.set }
 
@@ -169,7 +193,13 @@
 		c.answer(r, Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: "too many open requests"})
 		return
 	}
-	c.requests[id] = r
+	// Engines know a query by this name: under one that is in use, the news and the
+	// result of the first would be taken for the second's.
+	if _, twice := c.calls[q.Call]; twice {
+		c.answer(r, Answer{Kind: Failed, Why: "the call is in use"})
+		return
+	}
+	c.requests[id], c.calls[q.Call] = r, struct{}{}
 	left := time.Until(q.Deadline)
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
@@ -210,6 +240,7 @@
 func (c *Core) forget(r *request) {
 	if r.front == nil && r.running == 0 {
 		delete(c.requests, r.id)
+		delete(c.calls, r.query.Call)
 	}
 }
 
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
-	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"aniseloft/internal/protocol/jsonrpc"
@@ -14,87 +12,34 @@
 )
 
 const (
-	clientIdle   = time.Minute     // without a byte and without an open request
+	clientIdle   = 5 * time.Second // with nothing open; clients themselves leave after 4 s
 	clientWrite  = 5 * time.Second // an answer that a client does not read ends its connection
 	maxPerClient = 32              // open requests on a connection
 	outQueue     = 4 * maxPerClient
+	// strikeRest is how long a connection goes unread after messages that can't be
+	// taken: a client that sends such at full speed must not fill the core.
+	strikeRest = 20 * time.Millisecond
 )
 
-// Listener accepts connections within a budget and serves each.
-type Listener struct {
-	net    net.Listener
-	slots  chan struct{}
-	serve  func(context.Context, net.Conn)
-	ctx    context.Context
-	cancel context.CancelFunc
-	active sync.WaitGroup
-	log    *slog.Logger
-}
-
-// Listen opens addr; at most limit connections are served at a time, and
-// further ones wait to be accepted.
-func Listen(addr string, limit int, log *slog.Logger, serve func(context.Context, net.Conn)) (*Listener, error) {
-	n, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	l := &Listener{net: n, slots: make(chan struct{}, limit), serve: serve, log: log}
-	l.ctx, l.cancel = context.WithCancel(context.Background())
-	return l, nil
-}
-
-// Addr is where it listens.
-func (l *Listener) Addr() net.Addr { return l.net.Addr() }
-
-// Run accepts until Close.
-func (l *Listener) Run() {
-	for {
-		select {
-		case l.slots <- struct{}{}:
-		case <-l.ctx.Done():
-			return
-		}
-		c, err := l.net.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			<-l.slots
-			l.log.Warn("accept", "err", err)
-			time.Sleep(5 * time.Millisecond) // out of descriptors: let some come free
-			continue
-		}
-		l.active.Add(1)
-		go func() {
-			defer func() { _ = c.Close(); <-l.slots; l.active.Done() }()
-			l.serve(l.ctx, c)
-		}()
-	}
-}
-
-// Close stops accepting, lets the connections write what they have queued,
-// and waits for their end.
-func (l *Listener) Close() {
-	_ = l.net.Close()
-	l.cancel()
-	l.active.Wait()
-}
-
 // Clients is the front that speaks the platform's protocol.
 type Clients struct {
 	Core *routing.Core
 	Pass func() bool // whether new requests are welcome
+	In   *Budget     // what unfinished messages of all clients hold
+	Out  *Budget     // what answers not yet written hold
 	Log  *slog.Logger
 }
 
 // client is one connection.
 type client struct {
-	front *Clients
-	net   net.Conn
-	out   chan []byte
-	mu    sync.Mutex
-	dead  bool // nothing more is queued for it
-	open  map[string]*reply
+	front  *Clients
+	guest  *Guest
+	out    chan []byte
+	queued atomic.Int64 // bytes in out
+	mu     sync.Mutex
+	dead   bool // nothing more is queued for it
+	struck bool // sent what can't be taken, since the last read
+	open   map[string]*reply
 }
 
 // reply is the one answer owed to an id.
@@ -105,17 +50,17 @@
 }
 
 // Serve speaks with one client until it leaves or ctx ends.
-func (f *Clients) Serve(ctx context.Context, c net.Conn) {
-	k := &client{front: f, net: c, out: make(chan []byte, outQueue), open: map[string]*reply{}}
-	l := &link{net: c, text: textproto.NewConn(c)}
+func (f *Clients) Serve(ctx context.Context, g *Guest) {
+	k := &client{front: f, guest: g, out: make(chan []byte, outQueue), open: map[string]*reply{}}
+	l := newLink(g)
 	written := make(chan struct{})
 	go func() { defer close(written); k.writeAll(l) }()
-	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
 	var m jsonrpc.Machine
-	for ctx.Err() == nil {
-		b, err := l.read(ctx, time.Now().Add(clientIdle))
+	for held := 0; ctx.Err() == nil; {
+		b, err := l.read(ctx, g.due(clientIdle))
 		at := time.Now()
-		if err != nil && isTimeout(err) && k.busy() {
+		if err != nil && isTimeout(err) && at.Before(g.due(clientIdle)) {
 			continue
 		}
 		if err != nil {
@@ -125,12 +70,19 @@
 		for _, msg := range msgs {
 			k.take(msg, at)
 		}
-		if err != nil {
-			f.Log.Info("client connection closed", "err", err)
+		g.said(len(msgs) > 0, m.Held() > 0)
+		fits := f.In.move(held, m.Held())
+		if held = m.Held(); err != nil || !fits {
+			f.Log.Debug("client connection closed", "err", err, "fits", fits)
 			break
 		}
+		if k.struck {
+			k.struck = false
+			time.Sleep(strikeRest)
+		}
 	}
 	stop()
+	f.In.move(m.Held(), 0)
 	k.leave()
 	<-written
 }
@@ -142,8 +94,7 @@
 		k.request(msg, at)
 	case jsonrpc.Cancel:
 		k.mu.Lock()
-		r := k.open[msg.ID]
-		delete(k.open, msg.ID)
+		r := k.close(msg.ID)
 		k.mu.Unlock()
 		if r != nil {
 			k.front.Core.Gone(r.ticket)
@@ -151,33 +102,58 @@
 	case jsonrpc.Alive:
 		k.send(jsonrpc.AliveAnswer(msg.ID, k.front.Pass()))
 	case jsonrpc.Bad:
-		k.send(msg.Answer)
+		k.strike(msg.Answer)
+	}
+}
+
+// strike answers what can't be taken.
+func (k *client) strike(line []byte) {
+	k.struck = true
+	k.send(line)
+}
+
+// close takes an id off what is open; the lock is held.
+func (k *client) close(id string) *reply {
+	r := k.open[id]
+	if r != nil {
+		delete(k.open, id)
+		k.guest.opened(-1)
 	}
+	return r
 }
 
 func (k *client) request(m jsonrpc.Request, at time.Time) {
-	class, ok := k.front.Core.Class(m.Method)
+	core := k.front.Core
+	class, ok := core.Class(m.Method)
 	if !ok {
-		k.send(jsonrpc.Error(m.ID, jsonrpc.CodeNoMethod, "method not found"))
+		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeNoMethod, "method not found"))
+		return
+	}
+	if err := core.Usable(class, m.TTL, m.Work, m.RAM); err != nil {
+		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: "+err.Error()))
 		return
 	}
 	r := &reply{c: k, id: m.ID}
 	k.mu.Lock()
-	_, twice := k.open[m.ID]
+	twice := k.close(m.ID)
 	full := len(k.open) >= maxPerClient
-	if !twice && !full {
+	if twice == nil && !full {
 		k.open[m.ID] = r
+		k.guest.opened(1)
 	}
 	k.mu.Unlock()
-	if twice { // under its own id it would be a second answer to the first
-		k.send(jsonrpc.Error("null", jsonrpc.CodeInvalid, "invalid request: the id is in use"))
+	if twice != nil {
+		// Whichever of the two were served, the client could not tell which it was:
+		// neither is, and the id gets its one answer now.
+		core.Gone(twice.ticket)
+		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeInvalid, "invalid request: the id is in use"))
 		return
 	}
 	if full {
-		k.send(jsonrpc.Refused(m.ID, "too many open requests on this connection", k.front.Core.Settings().MaxComeBack))
+		k.strike(jsonrpc.Refused(m.ID, "too many open requests on this connection", core.Settings().MaxComeBack))
 		return
 	}
-	r.ticket = k.front.Core.Submit(routing.Query{Call: m.Call, Class: class, Statement: m.Document,
+	r.ticket = core.Submit(routing.Query{Call: m.Call, Class: class, Statement: m.Document,
 		Deadline: at.Add(time.Duration(m.TTL * float64(time.Millisecond))), Work: m.Work, MemoryMB: m.RAM}, r)
 }
 
@@ -197,7 +173,7 @@
 	if r.c.open[r.id] != r { // cancelled, or its client is gone
 		return
 	}
-	delete(r.c.open, r.id)
+	r.c.close(r.id)
 	r.c.queue(line)
 }
 
@@ -207,24 +183,25 @@
 	k.queue(line)
 }
 
-// queue never waits: a client that does not read what it asked for is cut off.
+// queue never waits: a client that does not read what it asked for is cut off, as is
+// one that has answers waiting while all of them together fill what there is for them.
 func (k *client) queue(line []byte) {
 	if k.dead {
 		return
 	}
-	select {
-	case k.out <- line:
-	default:
-		k.dead = true
-		close(k.out)
-		_ = k.net.Close()
+	if k.front.Out.move(0, len(line)) || k.queued.Load() == 0 {
+		k.queued.Add(int64(len(line)))
+		select {
+		case k.out <- line:
+			return
+		default:
+			k.queued.Add(-int64(len(line)))
+		}
 	}
-}
-
-func (k *client) busy() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return len(k.open) > 0 && !k.dead
+	k.front.Out.move(len(line), 0)
+	k.dead = true
+	close(k.out)
+	_ = k.guest.Close()
 }
 
 // leave withdraws what is open: nobody waits for it any more.
@@ -244,20 +221,26 @@
 
 // writeAll writes what is queued; lines that are ready together go together.
 func (k *client) writeAll(l *link) {
+	var err error
 	for line := range k.out {
-		err := k.net.SetWriteDeadline(time.Now().Add(clientWrite))
 		if err == nil {
-			_, err = l.text.W.Write(line)
-		}
-		if err == nil && len(k.out) == 0 {
-			err = l.text.W.Flush()
+			err = k.write(l, line)
 		}
 		if err != nil {
-			_ = k.net.Close()
-			for range k.out { // the reader closes the queue
-			}
-			return
+			_ = k.guest.Close() // the reader closes the queue, which is emptied till then
 		}
+		k.queued.Add(-int64(len(line)))
+		k.front.Out.move(len(line), 0)
 	}
 	_ = l.text.W.Flush()
 }
+
+func (k *client) write(l *link, line []byte) error {
+	if err := k.guest.SetWriteDeadline(time.Now().Add(clientWrite)); err != nil {
+		return err
+	}
+	if _, err := l.text.W.Write(line); err != nil || len(k.out) > 0 {
+		return err
+	}
+	return l.text.W.Flush()
+}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// An engine answers a long poll within 250 ms. Silence this long is a lost
-	// connection; asking anew within 2 s keeps the query alive.
-	silence    = 1200 * time.Millisecond
-	callLimit  = 250 * time.Millisecond // one short call, such as a cancel
-	maxResumes = 2                      // connections lost in a row before a query is given up
+	// An engine answers a long poll within 250 ms; an answer that is not whole by then
+	// and a little, whether silent or sent drop by drop, is lost and asked for again.
+	answerLimit = 400 * time.Millisecond
+	callLimit   = 250 * time.Millisecond // one short call, such as a cancel
+	maxResumes  = 3                      // answers lost in a row before a query is given up
+	resumeEach  = 10 * time.Millisecond  // between looks for a descriptor to ask on with
 )
 
 // paged is an engine that speaks the platform's protocol.
@@ -55,56 +56,82 @@
 		p.giveUp(a.Call) // first, as the query may come here again under the same id
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
-	// Whether it ran is not known, even where a reused connection reset at once:
-	// it is for the module to say whether the class may go again.
-	return routing.Result{Outcome: decide.OutcomeReset, Why: err.Error()}
+	return p.lost(err, func() { p.giveUp(a.Call) })
 }
 
-// converse feeds the query's machine until it ends. A connection lost on the
-// way is replaced: asking for news starts nothing, so it is safe for loads.
+// lost says what an attempt came to whose answers were lost. Whether it ran is not known,
+// even where a reused connection reset at once: it is for the module to say whether the
+// class may go again.
+func (p *paged) lost(err error, giveUp func()) routing.Result {
+	if errors.Is(err, errUnreachable) {
+		return routing.Result{Outcome: decide.OutcomeReset, Why: err.Error()}
+	}
+	// Connections still come up: it is the answers that are lost, and no proof that the engine is.
+	go giveUp()
+	return routing.Result{Outcome: decide.OutcomeError, Why: err.Error()}
+}
+
+// errUnreachable says that an engine could not be connected to again.
+var errUnreachable = errors.New("engine unreachable")
+
+// converse feeds the query's machine until it ends. What is lost or spoilt on the
+// way is asked for again on a fresh connection: that starts nothing, so it is safe
+// for loads too.
 func (p *paged) converse(ctx context.Context, c *link, q *engine.Query) (*engine.Result, error) {
 	out := q.Begin()
-	for lost := 0; ; lost++ {
-		res, err := p.exchange(ctx, c, q, out)
-		if err == nil || ctx.Err() != nil || lost >= maxResumes {
-			return res, err
+	for lost := 0; ; {
+		step, heard, err := p.exchange(ctx, c, q, out)
+		if heard {
+			lost = 0
+		}
+		if step.Result != nil || ctx.Err() != nil {
+			return step.Result, err
 		}
-		fresh, derr := p.lane.dial(ctx)
+		if err != nil {
+			if lost++; lost > maxResumes {
+				return nil, err
+			}
+		}
+		fresh, derr := p.lane.again(ctx)
 		if derr != nil {
-			return nil, fmt.Errorf("%w; and again: %w", err, derr)
+			return nil, errors.Join(err, derr)
 		}
-		c, out = fresh, q.Resume()
+		c = fresh
+		out = q.Resume()
 	}
 }
 
-// exchange writes and reads on one connection and hands it back.
-func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte) (*engine.Result, error) {
+// exchange writes and reads on one connection until the query ends or needs another,
+// and hands it back. Heard tells whether any answer was good.
+func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte) (step engine.Step, heard bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	res, keep, err := speak(ctx, c, q, out)
-	if stop() && err == nil && keep {
+	for step.Result == nil && !step.Fresh && err == nil {
+		step, err = p.call(ctx, c, q, out)
+		heard = heard || err == nil
+		out = step.Out
+	}
+	if stop() && step.Keep {
 		p.lane.put(c)
 	} else {
 		p.lane.drop(c)
 	}
-	return res, err
+	return step, heard, err
 }
 
-func speak(ctx context.Context, c *link, q *engine.Query, out []byte) (*engine.Result, bool, error) {
+// call writes one call and reads its answer, which must be whole by the limit.
+func (p *paged) call(ctx context.Context, c *link, q *engine.Query, out []byte) (engine.Step, error) {
+	deadline := time.Now().Add(answerLimit)
+	if err := c.write(ctx, out, deadline); err != nil {
+		return engine.Step{}, fmt.Errorf("write: %w", err)
+	}
 	for {
-		if len(out) > 0 {
-			if err := c.write(ctx, out, time.Now().Add(silence)); err != nil {
-				return nil, false, fmt.Errorf("write: %w", err)
-			}
-		}
-		b, err := c.read(ctx, time.Now().Add(silence))
+		b, err := c.read(ctx, deadline)
 		if err != nil {
-			return nil, false, fmt.Errorf("read: %w", err)
+			return engine.Step{}, fmt.Errorf("read: %w", err)
 		}
-		var res *engine.Result
-		var keep bool
-		out, res, keep, err = q.Feed(b)
-		if err != nil || res != nil {
-			return res, keep, err
+		step, err := q.Feed(b)
+		if err != nil || step.Out != nil || step.Result != nil || step.Fresh {
+			return step, err
 		}
 	}
 }
@@ -158,12 +185,24 @@
 	_, _, _ = p.single(ctx, engine.Delete(p.addr, call))
 }
 
-// single makes one short call on a connection beside the queries'.
+// single makes one short call on a connection beside the queries'. All such calls may
+// be made twice: one whose connection was lost, as idle ones can be, is made once more.
 func (p *paged) single(ctx context.Context, out []byte) (status int, report string, err error) {
 	c, err := p.lane.get(ctx)
 	if err != nil {
 		return 0, "", err
 	}
+	status, report, err = p.once(ctx, c, out)
+	if err == nil || ctx.Err() != nil || isTimeout(err) {
+		return status, report, err
+	}
+	if c, err = p.lane.dial(ctx); err != nil {
+		return 0, "", err
+	}
+	return p.once(ctx, c, out)
+}
+
+func (p *paged) once(ctx context.Context, c *link, out []byte) (status int, report string, err error) {
 	keep := false
 	defer func() {
 		if keep {
--- /dev/null
+++ b/internal/transport/listener.go
@@ -0,0 +1,200 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// A client that has sent no whole message for so long has nothing open and holds
+	// a descriptor that others wait for; it is owed a word or a close within 3 s.
+	wholeBy = 2 * time.Second
+	// What has come just now may have its first message on the way: it is not closed for others.
+	spareIdle = 25 * time.Millisecond
+	roomEach  = 5 * time.Millisecond // between looks for a connection to close
+)
+
+// Budget bounds the bytes that all connections of a front hold together.
+type Budget struct{ left atomic.Int64 }
+
+// NewBudget returns a budget of so many bytes.
+func NewBudget(bytes int64) *Budget {
+	b := &Budget{}
+	b.left.Store(bytes)
+	return b
+}
+
+// move books a change of what one connection holds and tells whether it is within the budget.
+func (b *Budget) move(from, to int) bool { return b.left.Add(int64(from-to)) >= 0 || to <= from }
+
+// Guest is one connection of a front, with what tells whether it may be closed.
+type Guest struct {
+	net.Conn
+	mu    sync.Mutex
+	since time.Time // when it came, last sent a whole message or got its last answer
+	half  time.Time // when the unfinished message began that it now sends; zero: none
+	whole bool      // it has sent a whole message
+	open  int       // requests without their answer
+}
+
+// said notes what a read brought: whole messages, the beginning of one, or both.
+func (g *Guest) said(whole, half bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if whole {
+		g.whole, g.since = true, now
+	}
+	if !half {
+		g.half = time.Time{}
+	} else if g.half.IsZero() || whole {
+		g.half = now
+	}
+}
+
+// opened notes that n more requests are open.
+func (g *Guest) opened(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open, g.since = g.open+n, time.Now()
+}
+
+// due is when the connection is to be closed, as things stand.
+func (g *Guest) due(idle time.Duration) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.open > 0:
+		return time.Now().Add(idle)
+	case !g.whole:
+		return g.since.Add(wholeBy)
+	case !g.half.IsZero():
+		return g.half.Add(wholeBy)
+	}
+	return g.since.Add(idle)
+}
+
+// idleSince tells since when nothing is open on it; ok is false while something is.
+func (g *Guest) idleSince() (at time.Time, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.since, g.open == 0
+}
+
+// Listener accepts connections within a budget and serves each.
+type Listener struct {
+	net    net.Listener
+	limit  int
+	serve  func(context.Context, *Guest)
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	guests map[*Guest]struct{}
+	active sync.WaitGroup
+	log    *slog.Logger
+	counts struct{ taken, closed atomic.Int64 }
+}
+
+// Listen opens addr; at most limit connections are served at a time. Where more
+// come, the one idle the longest is closed for each.
+func Listen(addr string, limit int, log *slog.Logger, serve func(context.Context, *Guest)) (*Listener, error) {
+	c := net.ListenConfig{KeepAlive: -1} // each read has its own limit, and the calls to set it up cost
+	n, err := c.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	l := &Listener{net: n, limit: limit, guests: map[*Guest]struct{}{}, serve: serve, log: log}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l, nil
+}
+
+// String is the front's counters: a connection closed for another had nothing open.
+func (l *Listener) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fmt.Sprintf("counters client_connections addr=%s open=%d limit=%d taken=%d closed_for_others=%d\n",
+		l.net.Addr(), len(l.guests), l.limit, l.counts.taken.Load(), l.counts.closed.Load())
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() net.Addr { return l.net.Addr() }
+
+// Run accepts until Close. What waits in the backlog counts as taken already, so a
+// connection is accepted first and room made for it then.
+func (l *Listener) Run() {
+	for {
+		c, err := l.net.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.log.Warn("accept", "err", err)
+			time.Sleep(roomEach) // out of descriptors: let some come free
+			continue
+		}
+		for !l.room() {
+			select {
+			case <-l.ctx.Done():
+				_ = c.Close()
+				return
+			case <-time.After(roomEach):
+			}
+		}
+		g := &Guest{Conn: c, since: time.Now()}
+		l.counts.taken.Add(1)
+		l.mu.Lock()
+		l.guests[g] = struct{}{}
+		l.mu.Unlock()
+		l.active.Add(1)
+		go func() {
+			defer l.active.Done()
+			l.serve(l.ctx, g)
+			l.end(g)
+		}()
+	}
+}
+
+func (l *Listener) end(g *Guest) {
+	l.mu.Lock()
+	delete(l.guests, g)
+	l.mu.Unlock()
+	_ = g.Close()
+}
+
+// room tells whether there is room for one more, closing the connection that is idle
+// the longest if need be: clients may hold theirs for good, or connect and say nothing.
+func (l *Listener) room() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.guests) < l.limit {
+		return true
+	}
+	var longest *Guest
+	var since time.Time
+	for g := range l.guests {
+		if at, idle := g.idleSince(); idle && (longest == nil || at.Before(since)) {
+			longest, since = g, at
+		}
+	}
+	if longest == nil || time.Since(since) < spareIdle {
+		return false
+	}
+	l.counts.closed.Add(1)
+	delete(l.guests, longest)
+	_ = longest.Close()
+	return true
+}
+
+// Close stops accepting, lets the connections write what they have queued,
+// and waits for their end.
+func (l *Listener) Close() {
+	_ = l.net.Close()
+	l.cancel()
+	l.active.Wait()
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,11 +3,13 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/textproto"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +19,11 @@
 // errNoDescriptor says that the budget of descriptors is spent.
 var errNoDescriptor = errors.New("no descriptor left for an engine")
 
+// settle is how long a connection rests between two calls of different owners. A second
+// copy of an answer may come behind it: taken for the next query's own, it would be a
+// result that no engine made. Bytes that came meanwhile end the connection.
+const settle = 5 * time.Millisecond
+
 // link is one connection to an engine.
 type link struct {
 	net   net.Conn
@@ -25,6 +32,15 @@
 	used  bool // carried a call before
 }
 
+// linkBuffer is what a link's reader and writer hold each. Hundreds are open at a time
+// in little memory, and most messages are shorter.
+const linkBuffer = 2 << 10
+
+func newLink(c net.Conn) *link {
+	return &link{net: c, text: &textproto.Conn{Reader: textproto.Reader{R: bufio.NewReaderSize(c, linkBuffer)},
+		Writer: textproto.Writer{W: bufio.NewWriterSize(c, linkBuffer)}}}
+}
+
 // Pool holds the connections to engines, each engine's apart, and keeps all of
 // them together within a budget of descriptors.
 type Pool struct {
@@ -34,7 +50,7 @@
 	connect time.Duration
 	maxIdle time.Duration
 	idle    map[*lane]struct{}
-	counts  struct{ dialled, reused, stolen, stale, spent atomic.Int64 }
+	counts  struct{ dialled, reused, stolen, stale, spent, resumed atomic.Int64 }
 }
 
 // String is the pool's counters.
@@ -42,8 +58,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := &p.counts
-	return fmt.Sprintf("counters engine_connections open=%d limit=%d dialled=%d reused=%d stolen=%d stale=%d spent=%d\n",
-		p.open, p.limit, c.dialled.Load(), c.reused.Load(), c.stolen.Load(), c.stale.Load(), c.spent.Load())
+	return fmt.Sprintf("counters engine_connections open=%d limit=%d dialled=%d reused=%d stolen=%d stale=%d spent=%d resumed=%d\n",
+		p.open, p.limit, c.dialled.Load(), c.reused.Load(), c.stolen.Load(), c.stale.Load(), c.spent.Load(), c.resumed.Load())
 }
 
 // lane is the idle connections of one engine. A new engine may get an old
@@ -104,14 +120,10 @@
 
 func (l *lane) takeIdle() *link {
 	for {
-		l.pool.mu.Lock()
-		if len(l.idle) == 0 {
-			l.pool.mu.Unlock()
+		c := l.popIdle()
+		if c == nil {
 			return nil
 		}
-		c := l.idle[len(l.idle)-1]
-		l.idle = l.idle[:len(l.idle)-1]
-		l.pool.mu.Unlock()
 		if time.Since(c.idled) < l.pool.maxIdle && quiet(c.net) {
 			l.pool.counts.reused.Add(1)
 			return c
@@ -121,6 +133,19 @@
 	}
 }
 
+// popIdle takes the connection that idles the least, but for the settle time.
+func (l *lane) popIdle() *link {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	for i := len(l.idle) - 1; i >= 0; i-- {
+		if c := l.idle[i]; time.Since(c.idled) >= settle {
+			l.idle = slices.Delete(l.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // dial opens a connection; one that takes too long has failed.
 func (l *lane) dial(ctx context.Context) (*link, error) {
 	if !l.pool.reserve() {
@@ -135,7 +160,26 @@
 		return nil, err
 	}
 	l.pool.counts.dialled.Add(1)
-	return &link{net: c, text: textproto.NewConn(c)}, nil
+	return newLink(c), nil
+}
+
+// again opens a fresh connection to ask on for what runs already. A descriptor comes free sooner or later: a running query is not given up for it.
+func (l *lane) again(ctx context.Context) (*link, error) {
+	l.pool.counts.resumed.Add(1)
+	for {
+		c, err := l.dial(ctx)
+		if err == nil {
+			return c, nil
+		}
+		if !errors.Is(err, errNoDescriptor) {
+			return nil, fmt.Errorf("%w: %w", errUnreachable, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(resumeEach):
+		}
+	}
 }
 
 // put returns a connection that can carry another call, and drops what idled too long.
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -45,23 +45,10 @@
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
 	}
 	q := rest.NewQuery(e.addr, rest.Start{Call: a.Call, Class: a.Class, User: e.user, Statement: a.Statement, Timeout: a.Timeout})
-	out := q.Begin()
-	for lost := 0; ; lost++ {
-		var res *rest.Outcome
-		res, err = e.exchangeRest(ctx, c, q, out)
-		if err == nil {
-			outcome := map[rest.End]decide.Outcome{rest.Served: decide.OutcomeServed, rest.Errored: decide.OutcomeError, rest.Full: decide.OutcomeFull}[res.End]
-			return routing.Result{Outcome: outcome, Body: res.Body, Work: res.Work, MemoryMB: res.MemoryMB, Why: res.Why}
-		}
-		if out = q.Resume(); ctx.Err() != nil || lost >= maxResumes || out == nil {
-			break
-		}
-		fresh, derr := e.lane.dial(ctx)
-		if derr != nil {
-			err = fmt.Errorf("%w; and again: %w", err, derr)
-			break
-		}
-		c = fresh
+	res, err := e.converseRest(ctx, c, q)
+	if res != nil {
+		outcome := map[rest.End]decide.Outcome{rest.Served: decide.OutcomeServed, rest.Errored: decide.OutcomeError, rest.Full: decide.OutcomeFull}[res.End]
+		return routing.Result{Outcome: outcome, Body: res.Body, Work: res.Work, MemoryMB: res.MemoryMB, Why: res.Why}
 	}
 	giveUp := func() {
 		if b := q.Cancel(); b != nil {
@@ -78,30 +65,58 @@
 		giveUp()
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
-	return routing.Result{Outcome: decide.OutcomeReset, Why: err.Error()}
+	return e.lost(err, giveUp)
+}
+
+// converseRest is converse for this protocol, where nothing can be asked for before
+// the first answer has named an address.
+func (e *restEngine) converseRest(ctx context.Context, c *link, q *rest.Query) (*rest.Outcome, error) {
+	out := q.Begin()
+	for lost := 0; ; {
+		step, heard, err := e.exchangeRest(ctx, c, q, out)
+		if heard {
+			lost = 0
+		}
+		if step.Result != nil || ctx.Err() != nil {
+			return step.Result, err
+		}
+		if err != nil {
+			lost++
+		}
+		if out = q.Resume(); out == nil || lost > maxResumes {
+			return nil, err
+		}
+		fresh, derr := e.lane.again(ctx)
+		if derr != nil {
+			return nil, errors.Join(err, derr)
+		}
+		c = fresh
+	}
 }
 
-func (e *restEngine) exchangeRest(ctx context.Context, c *link, q *rest.Query, out []byte) (res *rest.Outcome, err error) {
+func (e *restEngine) exchangeRest(ctx context.Context, c *link, q *rest.Query, out []byte) (step rest.Step, heard bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	keep := false
-	for res == nil && err == nil {
+	for deadline := time.Now().Add(restSilence); step.Result == nil && !step.Fresh && err == nil; {
 		if len(out) > 0 {
-			err = c.write(ctx, out, time.Now().Add(restSilence))
+			deadline = time.Now().Add(restSilence)
+			err = c.write(ctx, out, deadline)
 		}
 		var b []byte
 		if err == nil {
-			b, err = c.read(ctx, time.Now().Add(restSilence))
+			b, err = c.read(ctx, deadline)
 		}
 		if err == nil {
-			out, res, keep, err = q.Feed(b)
+			step, err = q.Feed(b)
+			out = step.Out
 		}
+		heard = heard || err == nil && (step.Result != nil || step.Fresh || len(out) > 0)
 	}
-	if stop() && err == nil && keep {
+	if stop() && step.Keep {
 		e.lane.put(c)
 	} else {
 		e.lane.drop(c)
 	}
-	return res, err
+	return step, heard, err
 }
 
 // Prioritize is not in this protocol.
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -8,7 +8,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/textproto"
 	"sync"
 	"time"
 
@@ -38,6 +37,7 @@
 	Core  *routing.Core
 	Store *store.Store
 	Pass  func() bool
+	In    *Budget       // what unfinished requests of all clients hold
 	Keep  time.Duration // how long an ended query can be read and its key is held
 	Log   *slog.Logger
 
@@ -110,25 +110,35 @@
 }
 
 // Serve speaks with one client until it leaves or ctx ends.
-func (f *RestClients) Serve(ctx context.Context, c net.Conn) {
-	l := &link{net: c, text: textproto.NewConn(c)}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+func (f *RestClients) Serve(ctx context.Context, g *Guest) {
+	l := newLink(g)
+	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
-	for m := rest.NewMachine(); ctx.Err() == nil; {
-		b, err := l.read(ctx, time.Now().Add(restIdle))
+	m, held := rest.NewMachine(), 0
+	defer func() { f.In.move(held, 0) }()
+	for ctx.Err() == nil {
+		b, err := l.read(ctx, g.due(restIdle))
 		if err != nil {
 			return
 		}
 		at := time.Now()
 		msgs, err := m.Feed(b)
+		g.said(len(msgs) > 0, m.Held() > 0)
 		for _, msg := range msgs {
+			g.opened(1)
 			out, last := f.answer(ctx, msg, at)
-			if l.write(context.WithoutCancel(ctx), out, time.Now().Add(restWrite)) != nil || last && err == nil {
+			werr := l.write(context.WithoutCancel(ctx), out, time.Now().Add(restWrite))
+			g.opened(-1)
+			if werr != nil || last && err == nil {
 				return
 			}
 		}
+		fits := f.In.move(held, m.Held())
+		if held = m.Held(); !fits {
+			return
+		}
 		if err != nil {
-			linger(ctx, c, l)
+			linger(ctx, g.Conn, l)
 			return
 		}
 	}
@@ -179,6 +189,9 @@
 		return rest.Plain(400, "X-Trino-Source names no class of queries")
 	}
 	class := f.Core.Settings().Classes[n]
+	if err := f.Core.Usable(n, class.Deadline, m.WorkMS, m.MemoryMB); err != nil {
+		return rest.Plain(400, err.Error())
+	}
 	if class.Repeat == decide.RepeatOnce && m.Key == "" {
 		return rest.Plain(400, rest.HeaderKey+" is needed: this class must never run twice")
 	}
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"sync"
@@ -135,7 +134,7 @@
 	if err != nil {
 		return false, err
 	}
-	l := &link{net: c, text: textproto.NewConn(c)}
+	l := newLink(c)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer func() { stop(); _ = c.Close() }()
 	for poll := journal.NewPoll(); ; heard = true {
