--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -264,6 +265,22 @@
 	p.told("class=trip-lookup taken=1 sent=1")
 }
 
+// What the module holds true of load was nowhere to be compared with what the sockets carry.
+func TestSIGUSR1ShowsTheModulesBeliefsBesideTheSockets(t *testing.T) {
+	p, e, _ := world(t, false)
+	c := dial(t, p.listen)
+	c.send(query(1, "ridership-report", "stay 1", 9000))
+	c.send(query(2, "ridership-report", "stay 2", 9000))
+	eventually(t, func() bool { return e.count(&e.started, "stay 1")+e.count(&e.started, "stay 2") == 2 })
+	line := regexp.MustCompile(`engine name=s-00000001 .* ready=true left_out=false .* in_flight=2 .* connections_busy=2 `)
+	eventually(t, func() bool {
+		require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
+		return line.MatchString(p.logged())
+	})
+	close(e.release)
+	require.Contains(t, c.line()+c.line(), `"result"`)
+}
+
 // SIGHUP was not caught and ended the program. The poll at the old journal service waits: it must be cut.
 func TestSIGHUPMovesToTheNewJournalAndABadFileChangesNothing(t *testing.T) {
 	p, old, j := world(t, false)
--- a/decide/api.go
+++ b/decide/api.go
@@ -167,6 +167,20 @@
 	InFlight, Queue, Util, Latency, Memory, Disk float64
 }
 
+// Belief is what a gateway holds true of one engine, for those who compare it with
+// what really passes.
+type Belief struct {
+	ID        EngineID
+	Ready     bool    // the list allows new work
+	LeftOut   bool    // out of rotation but for trials
+	Down      bool    // for proof that its process is gone
+	Cold      bool    // may not yet do its full work
+	Out       int     // attempts without an outcome
+	Strain    float64 // log of latency over its best
+	Report    Load    // the last, with what was sent since
+	ReportAge Millis  // below 0: there is none
+}
+
 // Event is something that happened; see the types below.
 type Event interface{ event() }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -484,7 +484,9 @@
 		draw: g.rng.Float64()}
 	g.requests[ev.ID] = r
 	g.asksLeft = min(g.asksLeft+askSpend/max(g.set.ProbePrice, askSpend/askMost), 2*askMost)
-	g.taken, g.anew = append(g.taken, g.now), min(g.anew+anewShare, anewMost)
+	if g.anew = min(g.anew+anewShare, anewMost); g.set.Rules.Rationed {
+		g.taken = append(g.taken, g.now) // cut where rations are counted, and kept for nothing else
+	}
 	r.inShare = g.withinShare(r)
 	rate := max(bestRate, 1/float64(g.seq))
 	blend(&g.meanWorth, g.value(r)*g.expect(r), rate)
@@ -627,7 +629,7 @@
 // learned need, since too little spills and too much is lost to others.
 func (g *Gateway) send(r *request, e *engine) {
 	c := g.classes[r.Class]
-	if r.attempts > 0 {
+	if r.attempts > 0 && g.set.Rules.Rationed {
 		g.retries = append(g.retries, g.now)
 	}
 	r.attempts++
--- a/decide/state.go
+++ b/decide/state.go
@@ -266,6 +266,21 @@
 	return l
 }
 
+// Beliefs are what the gateway holds true of each engine.
+func (g *Gateway) Beliefs(now Millis) []Belief {
+	g.now = now
+	var l []Belief
+	for _, e := range g.order {
+		b := Belief{ID: e.ID, Ready: e.ready(), LeftOut: e.onTrial, Down: e.down, Cold: g.cold(e), Out: len(e.out),
+			Strain: e.strain(g), Report: e.report, ReportAge: -1}
+		if e.reportAt > never {
+			b.ReportAge = now - e.reportAt
+		}
+		l = append(l, b)
+	}
+	return l
+}
+
 // attach puts an attempt on the engine's books.
 func (g *Gateway) attach(r *request, e *engine) {
 	c := g.classes[r.Class]
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -252,9 +252,9 @@
 	p.log.Info("configuration reloaded", "journal", c.Journal)
 }
 
-// print writes the counters.
+// print writes the counters and what the module holds true of each engine.
 func (p *Program) print() {
-	text := p.core.Counts.String() + p.pool.String() + p.front.String()
+	text := p.core.Beliefs() + p.core.Counts.String() + p.pool.String() + p.front.String()
 	if p.restFront != nil {
 		text += p.restFront.String()
 	}
--- a/internal/protocol/journal/journal.go
+++ b/internal/protocol/journal/journal.go
@@ -75,5 +75,9 @@
 		return nil, false, fmt.Errorf("%w %d", ErrStatus, m.Status)
 	}
 	out, err := Parse(m.Body)
-	return &out, !m.Close, err
+	if err != nil {
+		return nil, false, err
+	}
+	// What is left behind an answer would be taken for the next one.
+	return &out, !m.Close && p.http.Idle(), nil
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -402,6 +403,33 @@
 	c.handle(ev)
 }
 
+// Beliefs is a line for each engine: what the module holds true of it beside what the
+// sockets show. It is empty once the core has ended.
+func (c *Core) Beliefs() string {
+	out := make(chan string, 1)
+	c.post(func() {
+		var b strings.Builder
+		for _, v := range c.gateway.Beliefs(now()) {
+			name, addr, busy, idle := "gone", "", 0, 0
+			if e := c.engines[v.ID]; e != nil {
+				name, addr = e.Name, e.Addr
+				busy, idle = e.way.Connections()
+			}
+			fmt.Fprintf(&b, "engine name=%s id=%d addr=%s ready=%t left_out=%t down=%t cold=%t strain=%.2f in_flight=%d "+
+				"report_age_ms=%.0f report_inflight=%.1f report_util=%.2f report_x0=%.2f report_x1=%.2f connections_busy=%d connections_idle=%d\n",
+				name, v.ID, addr, v.Ready, v.LeftOut, v.Down, v.Cold, v.Strain, v.Out, v.ReportAge, v.Report.InFlight, v.Report.Util,
+				v.Report.Memory, v.Report.Disk, busy, idle)
+		}
+		out <- b.String()
+	})
+	select {
+	case s := <-out:
+		return s
+	case <-c.done:
+		return ""
+	}
+}
+
 func (c *Core) member(m Member) {
 	e := c.engines[m.ID]
 	if m.State == decide.EngineGone {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,6 +75,8 @@
 	Prioritize(ctx context.Context, call string, priority int) error
 	// Probe asks for a report of load.
 	Probe(ctx context.Context) (decide.Outcome, *decide.Load)
+	// Connections counts those that carry calls now and those kept idle.
+	Connections() (busy, idle int)
 	// Close drops what is kept for the engine: it is gone.
 	Close()
 }
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -260,5 +260,8 @@
 	return decide.OutcomeConnectFailed, nil
 }
 
+// Connections counts those that carry calls now and those kept idle.
+func (p *paged) Connections() (busy, idle int) { return p.lane.connections() }
+
 // Close drops what is kept for the engine.
 func (p *paged) Close() { p.lane.close() }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -29,7 +29,6 @@
 	net   net.Conn
 	text  *textproto.Conn
 	idled time.Time
-	used  bool // carried a call before
 }
 
 // linkBuffer is what a link's reader and writer hold each. Hundreds are open at a time
@@ -68,9 +67,17 @@
 	pool   *Pool
 	addr   string
 	idle   []*link
+	held   int // connections, idle or not
 	closed bool
 }
 
+// connections counts those that carry calls and those that idle.
+func (l *lane) connections() (busy, idle int) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return l.held - len(l.idle), len(l.idle)
+}
+
 // NewPool returns a pool that opens at most limit connections.
 func NewPool(limit int, connect, maxIdle time.Duration) *Pool {
 	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, idle: map[*lane]struct{}{}}
@@ -85,17 +92,21 @@
 }
 
 // reserve takes a descriptor, if need be from an idle connection.
-func (p *Pool) reserve() bool {
+func (l *lane) reserve() bool {
+	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open < p.limit {
 		p.open++
+		l.held++
 		return true
 	}
-	for l := range p.idle {
-		if len(l.idle) > 0 {
-			_ = l.idle[0].net.Close()
-			l.idle = l.idle[1:]
+	for o := range p.idle {
+		if len(o.idle) > 0 {
+			_ = o.idle[0].net.Close()
+			o.idle = o.idle[1:]
+			o.held--
+			l.held++
 			p.counts.stolen.Add(1)
 			return true
 		}
@@ -104,10 +115,11 @@
 	return false
 }
 
-func (p *Pool) release() {
-	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
+func (l *lane) release() {
+	l.pool.mu.Lock()
+	l.pool.open--
+	l.held--
+	l.pool.mu.Unlock()
 }
 
 // get returns an idle connection that still stands, or a new one.
@@ -148,7 +160,7 @@
 
 // dial opens a connection; one that takes too long has failed.
 func (l *lane) dial(ctx context.Context) (*link, error) {
-	if !l.pool.reserve() {
+	if !l.reserve() {
 		return nil, errNoDescriptor
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.pool.connect)
@@ -156,7 +168,7 @@
 	d := net.Dialer{KeepAlive: -1} // every read has its own limit, and the calls to set it up cost
 	c, err := d.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
-		l.pool.release()
+		l.release()
 		return nil, err
 	}
 	l.pool.counts.dialled.Add(1)
@@ -184,7 +196,7 @@
 
 // put returns a connection that can carry another call, and drops what idled too long.
 func (l *lane) put(c *link) {
-	c.used, c.idled = true, time.Now()
+	c.idled = time.Now()
 	l.pool.mu.Lock()
 	var old []*link
 	for len(l.idle) > 0 && time.Since(l.idle[0].idled) >= l.pool.maxIdle {
@@ -203,7 +215,7 @@
 
 func (l *lane) drop(c *link) {
 	_ = c.net.Close()
-	l.pool.release()
+	l.release()
 }
 
 // close drops what idles; what is in use is dropped when it comes back.
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"strconv"
-	"strings"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,8 +18,10 @@
 )
 
 const (
-	journalWait  = 2000        // ms; the service allows more, but a silent connection must show soon:
-	journalSlack = time.Second // what is told counts as told 7 s later, heard or not
+	// The service allows more, but one that stopped while staying open must show soon: its
+	// news counts as told 2 s after the end of the wait, heard or not.
+	journalWait  = 1000 // ms
+	journalSlack = 600 * time.Millisecond
 	journalRetry = 50 * time.Millisecond
 	journalMost  = 500 * time.Millisecond // backoff stays short: the drain rule counts from what is told
 	reconnectIn  = 250 * time.Millisecond
@@ -46,41 +45,51 @@
 	tail int64
 	core *routing.Core
 	log  *slog.Logger
-	ids  map[string]decide.EngineID
-	by   map[decide.EngineID]string
 }
 
 // NewRoster returns a follower of the journal service at addr.
 func NewRoster(addr string, core *routing.Core, log *slog.Logger) *Roster {
-	return &Roster{addr: addr, set: core.Settings(), core: core, log: log,
-		ids: map[string]decide.EngineID{}, by: map[decide.EngineID]string{}}
+	return &Roster{addr: addr, set: core.Settings(), core: core, log: log}
 }
 
 // Known takes the events of the start: together they are one list, possibly old.
 func (r *Roster) Known(b journal.Batch) {
-	byID := map[string]journal.Server{}
+	_, members := r.fold(b.Entries)
+	r.tail = max(r.tail, b.Pos)
+	r.core.List(decide.ListCached, slices.DeleteFunc(members, func(m routing.Member) bool { return m.State == decide.EngineGone }))
+}
+
+// fold takes events in their order, each once, as one change: of an engine that several
+// name the last word counts, so a replay never brings one back that is gone.
+func (r *Roster) fold(entries []journal.Entry) (full bool, members []routing.Member) {
+	last := map[string]journal.Server{}
 	var order []string
-	for _, e := range b.Entries {
-		if e.Hosts.Full {
-			clear(byID)
-			order = nil
+	for _, e := range entries {
+		if e.Pos <= r.tail {
+			continue
+		}
+		if e.Pos > r.tail+1 && !e.Hosts.Full {
+			r.log.Warn("journal events missing", "after", r.tail, "next", e.Pos)
+			r.tail = 0 // the first event holds the whole list
+			break
+		}
+		if r.tail = e.Pos; e.Hosts.Full {
+			clear(last)
+			full, order = true, nil
 		}
 		for _, s := range e.Hosts.Servers {
-			if _, ok := byID[s.ID]; !ok {
+			if _, ok := last[s.ID]; !ok {
 				order = append(order, s.ID)
 			}
-			byID[s.ID] = s
+			last[s.ID] = s
 		}
-		r.tail = max(r.tail, e.Pos)
 	}
-	r.tail = max(r.tail, b.Pos)
-	var members []routing.Member
 	for _, id := range order {
-		if m, ok := r.member(byID[id]); ok && m.State != decide.EngineGone {
+		if m, ok := r.member(last[id]); ok {
 			members = append(members, m)
 		}
 	}
-	r.core.List(decide.ListCached, members)
+	return full, members
 }
 
 // Move goes on at another address at once. The old service tells nothing more, so
@@ -160,29 +169,13 @@
 	}
 }
 
-// take hands events on in their order, each once.
+// take hands on what a batch brings.
 func (r *Roster) take(b journal.Batch) {
-	for _, e := range b.Entries {
-		if e.Pos <= r.tail {
-			continue
-		}
-		if e.Pos > r.tail+1 && !e.Hosts.Full {
-			r.log.Warn("journal events missing", "after", r.tail, "next", e.Pos)
-			r.tail = 0 // the first event holds the whole list
-			return
-		}
-		r.tail = e.Pos
-		kind := decide.ListDelta
-		if e.Hosts.Full {
-			kind = decide.ListFull
-		}
-		var members []routing.Member
-		for _, s := range e.Hosts.Servers {
-			if m, ok := r.member(s); ok {
-				members = append(members, m)
-			}
-		}
-		r.core.List(kind, members)
+	full, members := r.fold(b.Entries)
+	if full {
+		r.core.List(decide.ListFull, members)
+	} else if len(members) > 0 {
+		r.core.List(decide.ListDelta, members)
 	}
 }
 
@@ -199,7 +192,7 @@
 			return routing.Member{}, false
 		}
 	}
-	return routing.Member{Name: s.ID, Addr: s.Addr, EngineEntry: decide.EngineEntry{ID: r.id(s.ID),
+	return routing.Member{Name: s.ID, Addr: s.Addr, EngineEntry: decide.EngineEntry{ID: number(s.ID),
 		Zone: place(r.set.Zones, s.Zone), Kind: place(r.set.KindNames, s.Kind), Cell: s.Cell, State: state, Started: s.Started}}, true
 }
 
@@ -213,21 +206,10 @@
 	return 0
 }
 
-// id is the module's number for an engine: the hex digits of its id, so that
-// all coordinators hash alike, or else a hash of the whole.
-func (r *Roster) id(name string) decide.EngineID {
-	if id, ok := r.ids[name]; ok {
-		return id
-	}
-	id, err := strconv.ParseUint(name[strings.LastIndexByte(name, '-')+1:], 16, 64)
-	if err != nil {
-		h := fnv.New64a()
-		_, _ = fmt.Fprint(h, name)
-		id = uint64(binary.BigEndian.Uint32(h.Sum(nil)))
-	}
-	for r.by[decide.EngineID(id)] != "" {
-		id++ // two names, one number: the later takes the next
-	}
-	r.ids[name], r.by[decide.EngineID(id)] = decide.EngineID(id), name
-	return decide.EngineID(id)
+// number is the module's number for an engine. It hangs on the name alone, so that all
+// coordinators hash alike and nothing is kept of engines that are gone.
+func number(name string) decide.EngineID {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return decide.EngineID(h.Sum64())
 }
