Take a lost answer for what it is: no longer proof that an engine is down

The node's log: engines 'ejected: connections fail' and 'errors in a row' over and over, though 834 connections were 'reset while a request came' and none of the engines had ended; CPU 1.6 s in 25 s and 69 of 384 descriptors, so neither was short. A debug log named the ends: 645 times the answer to a resumed query was 500, not known. At fault: transport/engine.go told the module OutcomeError or OutcomeReset for them, and decide.noteOutcome takes a reset, or errors in a row, against the engine, puts it out of rotation and then holds it for cold.

Changed: decide.OutcomeLost, it may have run but the engine takes further connections; the module books nothing against the engine. It is told where a resumed query is not known, where answers were spoilt or cut three times, and where a probe was reset twice. Reset now means that the engine could not be connected to again; answers that stay out are an error. A connection reset as it came up is dialled twice more.

--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -162,6 +162,38 @@
 	require.Less(t, kb, 32<<10, "of 32 MB, with %d clients", len(held))
 }
 
+// Resets on the way counted as the engine's errors, or as proof that it is down: it was left out.
+func TestLostConnectionsDoNotCountAgainstAnEngine(t *testing.T) {
+	engines, j := []*engine{newEngine(t, false), newEngine(t, false), newEngine(t, false)}, newJournal(t)
+	j.add(true, server(1, engines[0], "active"), server(2, engines[1], "active"), server(3, engines[2], "active"))
+	p := run(t, t.TempDir(), j, false)
+	c := dial(t, p.listen)
+	for id := range 30 {
+		served(t, c.call(query(id+1, "trip-lookup", fmt.Sprintf("select 1 from sales_%d.x", id), 9000)))
+	}
+	for id := range 12 {
+		line := c.call(query(id+100, "trip-lookup", fmt.Sprintf("select unread from sales_%d.x", id), 9000))
+		require.Equal(t, "a\tb\tc\n", served(t, line))
+	}
+	require.NotContains(t, p.logged(), "ejected")
+	load := fmt.Sprintf("insert unread into sales_%d.x", 1)
+	require.Contains(t, c.call(query(200, "timetable-load", load, 9000)), `"code":-32001`, "it may have run")
+	for _, e := range engines {
+		require.Zero(t, e.count(&e.started, load))
+	}
+}
+
+// Statements of open requests were held without a bound: 32 a connection, of 190 KB each.
+func TestStatementsOfOpenRequestsStayWithinTheMemory(t *testing.T) {
+	p, e, _ := world(t, false)
+	c := dial(t, p.listen)
+	for id := range 32 {
+		c.send(query(id+1, "ridership-report", "stay "+strings.Repeat("x", 180<<10), 9000))
+	}
+	require.Contains(t, c.line(), `"code":-32000,"message":"too much is open","data":{"pushback":2000}`)
+	close(e.release)
+}
+
 var spoils = []string{"interim", "copy", "noise", "shorter", "boundary", "cut", "stopped", "replaced", "head", "misnumbered", "endless", "huge", "reset", "never"}
 
 // A spoilt answer failed its query at once, and what was left behind a good one was taken
--- a/decide/api.go
+++ b/decide/api.go
@@ -160,6 +160,7 @@
 	OutcomeReset
 	OutcomeCancelled
 	OutcomeNotSent
+	OutcomeLost // it may have run; the answer was lost on the way, and the engine takes further connections
 )
 
 // Load is an engine's report of its load; a negative value is absent.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -762,7 +762,7 @@
 	if o := ev.Outcome; o == OutcomeFull || o == OutcomeNotSent || o == OutcomeConnectFailed {
 		g.neverRan(r)
 	}
-	switch ev.Outcome {
+	switch ev.Outcome { // OutcomeLost tells of the way there and nothing of the engine
 	case OutcomeServed:
 		e.fails, e.lifeAt = 0, g.now
 		g.learn(r, e, ev)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/store"
 	"aniseloft/internal/transport"
@@ -46,8 +47,12 @@
 	memoryShare    = 0.75
 	gcPercent      = 400
 	outShare       = 0.88
-	inShare        = 1.0 / 16 // of the memory, for unfinished messages of all clients of a front
-	outQueueShare  = 1.0 / 8  // of the memory, for answers that clients have yet to read
+
+	// Shares of the memory. The rest is the program's own and what the collector has yet to find.
+	inShare        = 1.0 / 16 // unfinished messages of all clients of a front
+	statementShare = 1.0 / 8  // statements of open queries
+	answerShare    = 1.0 / 8  // answers that clients have yet to read
+	resultShare    = 1.0 / 4  // results on their way, were each as large as one may be
 	storeStart     = 10 * time.Second
 )
 
@@ -153,13 +158,14 @@
 	// Where all connections are out, each send would close one engine's idle connection to
 	// open another's: a dial for a query. Some are left idle.
 	s.MostOut = int(float64(limits.Sockets-clients-ownDescriptors-besideQueries) * outShare)
+	s.MostOut = min(s.MostOut, int(p.memory(resultShare)/engine.MaxResult))
 	if p.core, err = routing.NewCore(s, p.conf.seed, transport.ByKind{Pool: p.pool, Kinds: s.KindNames,
-		Rest: restKinds(restConf), User: p.conf.Name}, p.log); err != nil {
+		Rest: restKinds(restConf), User: p.conf.Name}, p.log, int(p.memory(statementShare))); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
 	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: func() bool { return p.Phase() == Serving },
-		In: p.budget(inShare), Out: p.budget(outQueueShare)}
+		In: transport.NewBudget(p.memory(inShare)), Out: transport.NewBudget(p.memory(answerShare))}
 	if p.front, err = transport.Listen(p.conf.Listen, clients-restClients, p.log, clientFront.Serve); err != nil {
 		return err
 	}
@@ -180,9 +186,9 @@
 	return nil
 }
 
-// budget is a share of the memory that the configuration allows.
-func (p *Program) budget(share float64) *transport.Budget {
-	return transport.NewBudget(int64(float64(p.conf.Limits.MemoryMB<<20) * share))
+// memory is a share of what the configuration allows, in bytes.
+func (p *Program) memory(share float64) int64 {
+	return int64(float64(p.conf.Limits.MemoryMB<<20) * share)
 }
 
 // startRest opens the record and the second front; what an earlier process
@@ -195,7 +201,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Keep: time.Duration(c.KeepSeconds) * time.Second,
-		Pass: func() bool { return p.Phase() == Serving }, In: p.budget(inShare), Log: p.log}
+		Pass: func() bool { return p.Phase() == Serving }, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -35,6 +35,7 @@
 	Failed     // it may have run
 	Full       // it never ran
 	Over       // it was over already and never ran
+	Lost       // it may have run: its connection was lost, and the engine knows nothing of it
 )
 
 // Start is what a query is started with.
@@ -79,6 +80,7 @@
 	start  Start
 	state  state
 	http   *httpmsg.Machine
+	known  bool // the engine has answered for it
 	pages  int
 	page   int
 	result Result
@@ -154,7 +156,7 @@
 	q.result.Report = m.Header.Get("Load-Report")
 	switch {
 	case m.Status == 202:
-		q.state = running
+		q.state, q.known = running, true
 		return nil, nil
 	case m.Status == 200:
 		n, err := strconv.Atoi(strings.TrimSpace(m.Header.Get("X-Batches")))
@@ -165,6 +167,8 @@
 		q.result.MemoryMB = figure(m, "X-Wanted")
 		q.pages = n
 		return q.take(m, behind)
+	case m.Status == 500 && q.state == running && !q.known:
+		return q.end(Lost, "not known after its connection was lost"), nil
 	case m.Status == 500:
 		return q.end(Failed, "status 500"), nil
 	case m.Header.Get("Never-Ran") == "1" && m.Status == 503:
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -31,6 +31,7 @@
 	inbox    chan func()
 	done     chan struct{}
 	limit    int
+	room     int // bytes of statements that may still be taken
 	seq      atomic.Uint64
 	after    []func() // what the core's own goroutine put off until this event is done
 	requests map[decide.RequestID]*request
@@ -69,13 +70,14 @@
 	ready atomic.Bool
 }
 
-// NewCore returns a core whose loop is not yet running.
-func NewCore(set decide.Settings, seed uint64, dialer Dialer, log *slog.Logger) (*Core, error) {
+// NewCore returns a core whose loop is not yet running. The statements of all open
+// queries together hold at most so many bytes.
+func NewCore(set decide.Settings, seed uint64, dialer Dialer, log *slog.Logger, statements int) (*Core, error) {
 	g, err := decide.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen,
+	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen, room: statements,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, calls: map[string]struct{}{}, engines: map[decide.EngineID]*engine{},
 		Counts: newCounters(set)}
@@ -190,8 +192,8 @@
 func (c *Core) arrived(id decide.RequestID, q Query, f Front) {
 	c.Counts.taken(q.Class)
 	r := &request{id: id, query: q, front: f, priority: -1}
-	if len(c.requests) >= c.limit {
-		c.answer(r, Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: "too many open requests"})
+	if len(c.requests) >= c.limit || len(q.Statement) > c.room {
+		c.answer(r, Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: "too much is open"})
 		return
 	}
 	// Engines know a query by this name: under one that is in use, the news and the
@@ -201,6 +203,7 @@
 		return
 	}
 	c.requests[id], c.calls[q.Call] = r, struct{}{}
+	c.room -= len(q.Statement)
 	left := time.Until(q.Deadline)
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
@@ -239,7 +242,8 @@
 
 // forget drops a request that is closed and has nothing out.
 func (c *Core) forget(r *request) {
-	if r.front == nil && r.running == 0 {
+	if r.front == nil && r.running == 0 && c.requests[r.id] == r {
+		c.room += len(r.query.Statement)
 		delete(c.requests, r.id)
 		delete(c.calls, r.query.Call)
 	}
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -15,7 +15,7 @@
 	panics          atomic.Int64
 }
 
-const outcomes = int(decide.OutcomeNotSent) + 1
+const outcomes = int(decide.OutcomeLost) + 1
 
 type classCounters struct {
 	name              string
@@ -24,7 +24,7 @@
 	ended             [outcomes]atomic.Int64
 }
 
-var outcomeNames = [outcomes]string{"served", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "not_sent"}
+var outcomeNames = [outcomes]string{"served", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "not_sent", "lost"}
 
 func newCounters(s decide.Settings) *Counters {
 	c := &Counters{classes: make([]classCounters, len(s.Classes))}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -63,12 +63,18 @@
 // even where a reused connection reset at once: it is for the module to say whether the
 // class may go again.
 func (p *paged) lost(err error, giveUp func()) routing.Result {
+	out := routing.Result{Outcome: decide.OutcomeLost, Why: err.Error()}
 	if errors.Is(err, errUnreachable) {
-		return routing.Result{Outcome: decide.OutcomeReset, Why: err.Error()}
+		out.Outcome = decide.OutcomeReset
+		return out
+	}
+	// Connections still come up, so it is no proof that the engine is down; but where they
+	// bring no answer in time, something is wrong with it.
+	if isTimeout(err) {
+		out.Outcome = decide.OutcomeError
 	}
-	// Connections still come up: it is the answers that are lost, and no proof that the engine is.
 	go giveUp()
-	return routing.Result{Outcome: decide.OutcomeError, Why: err.Error()}
+	return out
 }
 
 // errUnreachable says that an engine could not be connected to again.
@@ -156,6 +162,8 @@
 		out.Outcome = decide.OutcomeFull
 	case engine.Over:
 		out.Outcome = decide.OutcomeNotSent
+	case engine.Lost:
+		out.Outcome = decide.OutcomeLost
 	default:
 		out.Outcome = decide.OutcomeError
 	}
@@ -252,8 +260,8 @@
 		return decide.OutcomeFull, load(report)
 	case errors.Is(err, errNoDescriptor):
 		return decide.OutcomeNotSent, nil
-	case errors.Is(err, io.EOF) || isReset(err):
-		return decide.OutcomeReset, nil
+	case errors.Is(err, io.EOF) || isReset(err): // twice, on connections that came up
+		return decide.OutcomeLost, nil
 	case ctx.Err() != nil || isTimeout(err):
 		return decide.OutcomeTimeout, nil
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -24,6 +24,9 @@
 // result that no engine made. Bytes that came meanwhile end the connection.
 const settle = 5 * time.Millisecond
 
+// maxRedials is how often a connection that was reset as it came up is opened again.
+const maxRedials = 2
+
 // link is one connection to an engine.
 type link struct {
 	net   net.Conn
@@ -167,6 +170,9 @@
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1} // every read has its own limit, and the calls to set it up cost
 	c, err := d.DialContext(ctx, "tcp", l.addr)
+	for n := 0; n < maxRedials && isReset(err); n++ { // reset as it came up: neither refused nor used
+		c, err = d.DialContext(ctx, "tcp", l.addr)
+	}
 	if err != nil {
 		l.release()
 		return nil, err
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -83,13 +83,15 @@
 		if err != nil {
 			lost++
 		}
-		if out = q.Resume(); out == nil || lost > maxResumes {
-			return nil, err
-		}
-		fresh, derr := e.lane.again(ctx)
+		out = q.Resume()
+		fresh, derr := e.lane.again(ctx) // where there is nothing to ask, it tells whether the engine is there
 		if derr != nil {
 			return nil, errors.Join(err, derr)
 		}
+		if out == nil || lost > maxResumes {
+			e.lane.put(fresh)
+			return nil, err
+		}
 		c = fresh
 	}
 }
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -162,10 +162,17 @@
 				return heard, err
 			}
 		}
+		was := r.tail
 		r.take(*batch)
 		if !keep {
 			return true, errors.New("closed by the journal service")
 		}
+		if r.tail <= was { // a service that answers at once with nothing new must not fill the core
+			select {
+			case <-ctx.Done():
+			case <-time.After(journalRetry):
+			}
+		}
 	}
 }
 
