Read a page at once and copy it less; do not blame an engine for a limit seen late

Checked: a profile (temporary, not kept): 26% in system calls (write 0.63 s, dial 0.57, read 0.27 of 4.96 s), 13% in allocation, no single hot spot.

Changed: 8 KB to read from engines, 2 KB from clients; the body is handed on where it lies; one pass for text and one for tabs; room for the whole result at once. A connect limit that is itself seen more than 20 ms late is tried once more.

--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -201,7 +201,9 @@
 	if len(q.result.Body)+len(m.Body) > MaxResult {
 		return q.end(Failed, "result too large"), nil
 	}
-	q.state = paging
+	if q.state = paging; q.result.Body == nil {
+		q.result.Body = make([]byte, 0, min(len(m.Body)*max(q.pages, 1), MaxResult))
+	}
 	q.result.Body = append(q.result.Body, m.Body...)
 	if q.page++; q.page < q.pages {
 		return nil, nil
@@ -212,21 +214,24 @@
 // whole checks that a page is whole rows. Bytes spoilt on the way that are passed
 // on would make a result that no engine made.
 func whole(page []byte) error {
-	if len(page) > maxPage || len(page) > 0 && page[len(page)-1] != '\n' {
+	if len(page) > maxPage || len(page) > 0 && page[len(page)-1] != '\n' || !isText(page) {
 		return fmt.Errorf("%w: no whole page", ErrSpoilt)
 	}
 	for row := range bytes.Lines(page) {
-		if !IsRow(row) {
+		if bytes.Count(row, tab) != columns-1 {
 			return fmt.Errorf("%w: no row", ErrSpoilt)
 		}
 	}
 	return nil
 }
 
-// IsRow tells whether text is a row of a result, with or without its line feed.
+var tab = []byte("\t")
+
+func isText(b []byte) bool { return bytes.IndexByte(b, 0) < 0 && utf8.Valid(b) }
+
+// IsRow tells whether text is one row of a result, without its line feed.
 func IsRow(b []byte) bool {
-	return bytes.Count(b, []byte("\t")) == columns-1 && bytes.IndexByte(b, 0) < 0 && utf8.Valid(b) &&
-		bytes.IndexByte(bytes.TrimSuffix(b, []byte("\n")), '\n') < 0
+	return bytes.Count(b, tab) == columns-1 && bytes.IndexByte(b, '\n') < 0 && isText(b)
 }
 
 func (q *Query) end(e End, why string) *Result {
--- a/internal/protocol/httpmsg/httpmsg.go
+++ b/internal/protocol/httpmsg/httpmsg.go
@@ -107,7 +107,7 @@
 		if len(m.buf) < m.left {
 			return nil, true, nil
 		}
-		m.msg.Body = append(m.msg.Body, m.buf[:m.left]...)
+		m.msg.Body = m.buf[:m.left:m.left] // what comes later is appended behind it
 		m.buf = m.buf[m.left:]
 		return m.done(), false, nil
 	case readingChunkSize:
--- a/internal/routing/tables.go
+++ b/internal/routing/tables.go
@@ -50,7 +50,7 @@
 // tokens keeps names and dots in their order, and any other sign as itself;
 // strings and comments are skipped. A quoted identifier is a name.
 func tokens(s string) []token {
-	var out []token
+	out := make([]token, 0, 32) // as many as most statements have
 	for i := 0; i < len(s); {
 		c := s[i]
 		switch {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -52,7 +52,7 @@
 // Serve speaks with one client until it leaves or ctx ends.
 func (f *Clients) Serve(ctx context.Context, g *Guest) {
 	k := &client{front: f, guest: g, out: make(chan []byte, outQueue), open: map[string]*reply{}}
-	l := newLink(g)
+	l := newLink(g, shortBuffer)
 	written := make(chan struct{})
 	go func() { defer close(written); k.writeAll(l) }()
 	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -27,6 +27,9 @@
 // maxRedials is how often a connection that was reset as it came up is opened again.
 const maxRedials = 2
 
+// ownLag is how late a limit is seen by a process that has no time of its own left.
+const ownLag = 20 * time.Millisecond
+
 // link is one connection to an engine.
 type link struct {
 	net   net.Conn
@@ -34,13 +37,16 @@
 	idled time.Time
 }
 
-// linkBuffer is what a link's reader and writer hold each. Hundreds are open at a time
-// in little memory, and most messages are shorter.
-const linkBuffer = 2 << 10
+// What a link's reader and writer hold. Hundreds are open at a time in little memory;
+// most messages are short, but a page with its head is to come with one read.
+const (
+	shortBuffer = 2 << 10
+	pageBuffer  = 8 << 10
+)
 
-func newLink(c net.Conn) *link {
-	return &link{net: c, text: &textproto.Conn{Reader: textproto.Reader{R: bufio.NewReaderSize(c, linkBuffer)},
-		Writer: textproto.Writer{W: bufio.NewWriterSize(c, linkBuffer)}}}
+func newLink(c net.Conn, reads int) *link {
+	return &link{net: c, text: &textproto.Conn{Reader: textproto.Reader{R: bufio.NewReaderSize(c, reads)},
+		Writer: textproto.Writer{W: bufio.NewWriterSize(c, shortBuffer)}}}
 }
 
 // Pool holds the connections to engines, each engine's apart, and keeps all of
@@ -52,7 +58,7 @@
 	connect time.Duration
 	maxIdle time.Duration
 	idle    map[*lane]struct{}
-	counts  struct{ dialled, reused, stolen, stale, spent, resumed atomic.Int64 }
+	counts  struct{ dialled, reused, stolen, expired, stale, spent, resumed atomic.Int64 }
 }
 
 // String is the pool's counters.
@@ -60,8 +66,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := &p.counts
-	return fmt.Sprintf("counters engine_connections open=%d limit=%d dialled=%d reused=%d stolen=%d stale=%d spent=%d resumed=%d\n",
-		p.open, p.limit, c.dialled.Load(), c.reused.Load(), c.stolen.Load(), c.stale.Load(), c.spent.Load(), c.resumed.Load())
+	return fmt.Sprintf("counters engine_connections open=%d limit=%d dialled=%d reused=%d stolen=%d expired=%d stale=%d spent=%d resumed=%d\n",
+		p.open, p.limit, c.dialled.Load(), c.reused.Load(), c.stolen.Load(), c.expired.Load(), c.stale.Load(), c.spent.Load(), c.resumed.Load())
 }
 
 // lane is the idle connections of one engine. A new engine may get an old
@@ -139,11 +145,15 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idled) < l.pool.maxIdle && quiet(c.net) {
+		switch {
+		case time.Since(c.idled) >= l.pool.maxIdle:
+			l.pool.counts.expired.Add(1)
+		case !quiet(c.net):
+			l.pool.counts.stale.Add(1)
+		default:
 			l.pool.counts.reused.Add(1)
 			return c
 		}
-		l.pool.counts.stale.Add(1)
 		l.drop(c)
 	}
 }
@@ -166,19 +176,26 @@
 	if !l.reserve() {
 		return nil, errNoDescriptor
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.pool.connect)
+	dctx, cancel := context.WithTimeout(ctx, l.pool.connect)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1} // every read has its own limit, and the calls to set it up cost
-	c, err := d.DialContext(ctx, "tcp", l.addr)
+	began := time.Now()
+	c, err := d.DialContext(dctx, "tcp", l.addr)
 	for n := 0; n < maxRedials && isReset(err); n++ { // reset as it came up: neither refused nor used
-		c, err = d.DialContext(ctx, "tcp", l.addr)
+		c, err = d.DialContext(dctx, "tcp", l.addr)
+	}
+	if isTimeout(err) && time.Since(began) > l.pool.connect+ownLag {
+		// The limit itself was seen late: this process had no time to see the connection come up.
+		again, cancel := context.WithTimeout(ctx, l.pool.connect)
+		defer cancel()
+		c, err = d.DialContext(again, "tcp", l.addr)
 	}
 	if err != nil {
 		l.release()
 		return nil, err
 	}
 	l.pool.counts.dialled.Add(1)
-	return newLink(c), nil
+	return newLink(c, pageBuffer), nil
 }
 
 // again opens a fresh connection to ask on for what runs already. A descriptor comes free sooner or later: a running query is not given up for it.
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -111,7 +111,7 @@
 
 // Serve speaks with one client until it leaves or ctx ends.
 func (f *RestClients) Serve(ctx context.Context, g *Guest) {
-	l := newLink(g)
+	l := newLink(g, shortBuffer)
 	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	m, held := rest.NewMachine(), 0
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return false, err
 	}
-	l := newLink(c)
+	l := newLink(c, pageBuffer)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer func() { stop(); _ = c.Close() }()
 	for poll := journal.NewPoll(); ; heard = true {
