Answer an id in use once, also where the second message is bad in itself

The id is now looked at first, whatever the message is. TestTwoRequestsUnderOneIDGetOneError has the three cases; before, the second got -32601 or -32602 and the first stayed.

--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -97,6 +97,10 @@
 	eventually(t, func() bool { return e.count(&e.ended, "stay") == 1 })
 	require.Contains(t, c.call(query(2, "trip-lookup", "y", 9000)), `"id":2,"result"`, "no second answer came between")
 	require.Zero(t, e.count(&e.started, "x"))
+	for id, second := range []string{query(3, "no-such-class", "x", 9000), query(4, "trip-lookup", "x", -1), `{"jsonrpc":"2.0","id":5,"method":"alive"}`} {
+		c.send(query(id+3, "trip-lookup", fmt.Sprint("stay ", id), 9000))
+		require.Contains(t, c.call(second), fmt.Sprintf(`"id":%d,"error":{"code":-32600`, id+3), "also where the second is bad in itself")
+	}
 }
 
 // Engines know a query by its call: under one that is open, the first's result went to the second.
--- a/internal/protocol/jsonrpc/jsonrpc.go
+++ b/internal/protocol/jsonrpc/jsonrpc.go
@@ -47,8 +47,11 @@
 	Cancel struct{ ID string }
 	// Alive asks whether requests are welcome.
 	Alive struct{ ID string }
-	// Bad is a message that can't be taken; Answer is the line it gets.
-	Bad struct{ Answer []byte }
+	// Bad is a message that can't be taken, under an id if it has one; Answer is the line it gets.
+	Bad struct {
+		ID     string
+		Answer []byte
+	}
 )
 
 // Machine cuts the bytes of one connection into messages.
@@ -172,7 +175,7 @@
 	return err == nil && n > 0 && raw[0] != '+'
 }
 
-func bad(id string, code int, text string) Bad { return Bad{Error(id, code, text)} }
+func bad(id string, code int, text string) Bad { return Bad{id, Error(id, code, text)} }
 
 // Error is the line of a plain error.
 func Error(id string, code int, text string) []byte {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -91,7 +91,9 @@
 func (k *client) take(msg any, at time.Time) {
 	switch msg := msg.(type) {
 	case jsonrpc.Request:
-		k.request(msg, at)
+		if !k.inUse(msg.ID) {
+			k.request(msg, at)
+		}
 	case jsonrpc.Cancel:
 		k.mu.Lock()
 		r := k.close(msg.ID)
@@ -100,9 +102,13 @@
 			k.front.Core.Gone(r.ticket)
 		}
 	case jsonrpc.Alive:
-		k.send(jsonrpc.AliveAnswer(msg.ID, k.front.Pass()))
+		if !k.inUse(msg.ID) {
+			k.send(jsonrpc.AliveAnswer(msg.ID, k.front.Pass()))
+		}
 	case jsonrpc.Bad:
-		k.strike(msg.Answer)
+		if !k.inUse(msg.ID) {
+			k.strike(msg.Answer)
+		}
 	}
 }
 
@@ -112,6 +118,21 @@
 	k.send(line)
 }
 
+// inUse tells whether a message, whatever it is, came under the id of an open request.
+// Whichever were answered, the client could not tell which it was: the request is
+// withdrawn, and the id gets its one answer now.
+func (k *client) inUse(id string) bool {
+	k.mu.Lock()
+	r := k.close(id)
+	k.mu.Unlock()
+	if r == nil {
+		return false
+	}
+	k.front.Core.Gone(r.ticket)
+	k.strike(jsonrpc.Error(id, jsonrpc.CodeInvalid, "invalid request: the id is in use"))
+	return true
+}
+
 // close takes an id off what is open; the lock is held.
 func (k *client) close(id string) *reply {
 	r := k.open[id]
@@ -135,20 +156,12 @@
 	}
 	r := &reply{c: k, id: m.ID}
 	k.mu.Lock()
-	twice := k.close(m.ID)
 	full := len(k.open) >= maxPerClient
-	if twice == nil && !full {
+	if !full {
 		k.open[m.ID] = r
 		k.guest.opened(1)
 	}
 	k.mu.Unlock()
-	if twice != nil {
-		// Whichever of the two were served, the client could not tell which it was:
-		// neither is, and the id gets its one answer now.
-		core.Gone(twice.ticket)
-		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeInvalid, "invalid request: the id is in use"))
-		return
-	}
 	if full {
 		k.strike(jsonrpc.Refused(m.ID, "too many open requests on this connection", core.Settings().MaxComeBack))
 		return
