Bound ttl at four times the class's deadline: usual clients may wait a little longer than it

A log of each message turned away: 14,273 times 'the time to wait is out of range', nothing else; a second log: 24,992 usual requests had a ttl above the class's deadline, all by under a tenth. At fault: my bound at the deadline itself in Core.Usable (routing/core.go).

Changed: one factor of four for ttl, work and ram alike.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -97,8 +97,9 @@
 	return 0, false
 }
 
-// estimateOver is how far estimates may lie above what any engine could do: they are rough.
-const estimateOver = 4
+// figureOver is how far figures may lie above the class's own time and above what any
+// engine could do: estimates are rough, and some clients wait longer than their class.
+const figureOver = 4
 
 // Usable tells what is wrong with a query's figures, in milliseconds and MB, beside its
 // class's own time and the largest engine. What is out of range must not reach an engine.
@@ -107,13 +108,13 @@
 	for _, k := range c.set.Kinds {
 		cores, most = max(cores, k.Cores), max(most, k.MemoryMB)
 	}
-	left := c.set.Classes[class].Deadline
+	left := figureOver * c.set.Classes[class].Deadline
 	switch {
-	case !(ttl > 0 && ttl <= left+1): // whole milliseconds may be rounded up
+	case !(ttl > 0 && ttl <= left):
 		return errors.New("the time to wait is out of range")
-	case !(work >= 0 && work <= estimateOver*left*cores):
+	case !(work >= 0 && work <= left*cores):
 		return errors.New("the estimated work is out of range")
-	case !(memory >= 0 && (most == 0 || memory <= estimateOver*most)):
+	case !(memory >= 0 && (most == 0 || memory <= figureOver*most)):
 		return errors.New("the estimated memory is out of range")
 	}
 	return nil
