--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestServesAllPagesInOrderAndPassesFieldsOn(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	statement := "select 'lake_9.x' from sales_17.orders -- rows 5"
@@ -49,6 +50,7 @@
 }
 
 func TestRefusalSaysWhenToComeBackAndFailurePromisesNothing(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	refused := c.call(query(1, "timetable-load", "full", 9000))
@@ -61,6 +63,7 @@
 }
 
 func TestBadInputGetsTheStandardErrorsAndTheConnectionLivesOn(t *testing.T) {
+	t.Parallel()
 	p, _, _ := world(t, false)
 	c := dial(t, p.listen)
 	for line, code := range map[string]string{
@@ -91,6 +94,7 @@
 
 // Of two open requests under one id the client could not tell which was answered: neither is served.
 func TestTwoRequestsUnderOneIDGetOneError(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	c.send(query(1, "trip-lookup", "stay", 9000))
@@ -107,6 +111,7 @@
 
 // Engines know a query by its call: under one that is open, the first's result went to the second.
 func TestACallInUseIsNotTakenTwiceOnAnyConnection(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c, d := dial(t, p.listen), dial(t, p.listen)
 	first := query(1, "trip-lookup", "stay", 9000)
@@ -122,6 +127,7 @@
 
 // Clients that keep their connection for good once filled all slots, and others waited unread in the backlog.
 func TestClientsThatHoldOrSayNothingKeepNobodyOut(t *testing.T) {
+	t.Parallel()
 	p, _, _ := world(t, true)
 	for range 40 { // of 64 descriptors, 21 are for clients
 		require.Contains(t, dial(t, p.listen).call(query(1, "trip-lookup", "x", 9000)), `"id":1,"result"`)
@@ -134,6 +140,7 @@
 }
 
 func TestWhatSendsNoWholeMessageIsClosed(t *testing.T) {
+	t.Parallel()
 	p, _, _ := world(t, true)
 	for addr, text := range map[string]string{p.listen: `{"jsonrpc":"2.0",`, p.rest: "POST /v1/statement HTTP/1.1\r\nContent-Length: 9\r\n\r\nsel"} {
 		for _, first := range []string{"", text} {
@@ -148,6 +155,7 @@
 
 // Lines that never end, from all clients at once, passed the memory limit.
 func TestEndlessLinesStayWithinTheMemory(t *testing.T) {
+	t.Parallel()
 	if len(buildFlags) > 0 {
 		t.Skip("the race detector's own memory is many times the program's")
 	}
@@ -170,6 +178,7 @@
 
 // Resets on the way counted as the engine's errors, or as proof that it is down: it was left out.
 func TestLostConnectionsDoNotCountAgainstAnEngine(t *testing.T) {
+	t.Parallel()
 	engines, j := []*engine{newEngine(t, false), newEngine(t, false), newEngine(t, false)}, newJournal(t)
 	j.add(true, server(1, engines[0], "active"), server(2, engines[1], "active"), server(3, engines[2], "active"))
 	p := run(t, t.TempDir(), j, false)
@@ -191,6 +200,7 @@
 
 // Statements of open requests were held without a bound: 32 a connection, of 190 KB each.
 func TestStatementsOfOpenRequestsStayWithinTheMemory(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	for id := range 32 {
@@ -205,6 +215,7 @@
 // A spoilt answer failed its query at once, and what was left behind a good one was taken
 // for the next page. Asking again starts nothing, so it is done for loads too.
 func TestSpoiltAnswersAreAskedForAgain(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	statement := func(i int) string { return fmt.Sprintf("insert into sales_%d.x -- rows 3 spoil %s", i, spoils[i]) }
@@ -222,6 +233,7 @@
 }
 
 func TestCancelAndLostClientReachTheEngine(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	c.send(query(1, "trip-lookup", "stay 1", 9000))
@@ -236,6 +248,7 @@
 
 // The cancel once had to be answered before the client was, which made answers late.
 func TestOneAnswerByTheDeadlineAndTheEngineIsTold(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	require.Contains(t, c.call(query(1, "timetable-load", "stay", 400)), `"code":-32001`)
@@ -245,6 +258,7 @@
 
 // Loads of a group stood still behind each other at engines, each holding a connection.
 func TestLoadsOfAGroupMeetAtNoEngine(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	statement := "insert into sales_4.fares select stay from staging.new"
@@ -262,6 +276,7 @@
 }
 
 func TestNothingNewGoesToALeavingEngine(t *testing.T) {
+	t.Parallel()
 	p, old, j := world(t, false)
 	fresh := newEngine(t, false)
 	c := dial(t, p.listen)
@@ -280,6 +295,7 @@
 }
 
 func TestSIGTERMKeepsServingFinishesAndExitsCleanly(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	c.send(query(1, "trip-lookup", "stay", 9000))
@@ -296,6 +312,7 @@
 }
 
 func TestSIGUSR1PrintsTheCounters(t *testing.T) {
+	t.Parallel()
 	p, _, _ := world(t, false)
 	c := dial(t, p.listen)
 	c.call(query(1, "trip-lookup", "x", 9000))
@@ -305,6 +322,7 @@
 
 // What the module holds true of load was nowhere to be compared with what the sockets carry.
 func TestSIGUSR1ShowsTheModulesBeliefsBesideTheSockets(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, false)
 	c := dial(t, p.listen)
 	c.send(query(1, "ridership-report", "stay 1", 9000))
@@ -321,6 +339,7 @@
 
 // SIGHUP was not caught and ended the program. The poll at the old journal service waits: it must be cut.
 func TestSIGHUPMovesToTheNewJournalAndABadFileChangesNothing(t *testing.T) {
+	t.Parallel()
 	p, old, j := world(t, false)
 	c := dial(t, p.listen)
 	p.write("{")
--- a/cmd/aniseloft/postgres_test.go
+++ b/cmd/aniseloft/postgres_test.go
@@ -115,6 +115,7 @@
 }
 
 func TestPostgresKeepsTheRecordToo(t *testing.T) {
+	t.Parallel()
 	dsn, db := postgres(t)
 	p, e, j := worldOn(t, dsn)
 	first := p.post("timetable-load", "k1", "it's done")
--- a/cmd/aniseloft/rest_test.go
+++ b/cmd/aniseloft/rest_test.go
@@ -65,6 +65,7 @@
 }
 
 func TestRestServesAllPages(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, true)
 	statement := "select * from sales_3.trips -- rows 5"
 	first := p.post("ridership-report", "", statement)
@@ -77,6 +78,7 @@
 }
 
 func TestRestRefusalsFailuresAndBadRequests(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, true)
 	r := p.post("trip-lookup", "", "full")
 	require.Equal(t, 429, r.status)
@@ -99,6 +101,7 @@
 }
 
 func TestRestCancelReachesTheEngine(t *testing.T) {
+	t.Parallel()
 	p, e, _ := world(t, true)
 	r := p.post("trip-lookup", "", "stay")
 	require.NotEmpty(t, r.NextURI)
@@ -110,6 +113,7 @@
 
 // The REST front is off as committed, and then opens nothing.
 func TestMisspeltRestSettingsStopTheStart(t *testing.T) {
+	t.Parallel()
 	e, j := newEngine(t, false), newJournal(t)
 	j.add(true, server(1, e, "active"))
 	p := run(t, t.TempDir(), j, true)
@@ -122,6 +126,7 @@
 }
 
 func TestPageThreeIsServedAfterARestart(t *testing.T) {
+	t.Parallel()
 	p, e, j := world(t, true)
 	statement := "select * from sales_3.trips -- rows 4"
 	r := p.post("ridership-report", "", statement)
@@ -138,6 +143,7 @@
 
 // The other engine driver has the same guards; before its first answer there is no address to ask at.
 func TestSpoiltAnswersOfRestEnginesAreAskedForAgain(t *testing.T) {
+	t.Parallel()
 	e, j := newEngine(t, true), newJournal(t)
 	j.add(true, server(1, e, "active"))
 	p := run(t, t.TempDir(), j, true)
@@ -151,6 +157,7 @@
 }
 
 func TestALoadNeverRunsTwiceOverResendsAndAKill(t *testing.T) {
+	t.Parallel()
 	p, e, j := world(t, true)
 	first := p.post("timetable-load", "k1", "done")
 	_, text := settle(t, first)
@@ -174,9 +181,10 @@
 // TestBothFrontsAndBothKindsOfEnginesEndAlike plays one script over all four
 // ways and compares the outcome counts of each class.
 func TestBothFrontsAndBothKindsOfEnginesEndAlike(t *testing.T) {
+	t.Parallel()
 	script := []string{"x", "rows 3", "full", "fail", "stay", "x", "fail", "rows 2", "full"}
 	classes := []string{"trip-lookup", "ridership-report", "timetable-load"}
-	count := func(restEngine, restFront bool) map[string]int {
+	count := func(t *testing.T, restEngine, restFront bool) map[string]int {
 		e, j := newEngine(t, restEngine), newJournal(t)
 		j.add(true, server(1, e, "active"))
 		p, got := run(t, t.TempDir(), j, true), map[string]int{}
@@ -207,9 +215,18 @@
 		}
 		return got
 	}
-	want := count(false, false)
-	require.Len(t, want, 7, "refusals and failures are among them: %v", want)
-	for _, way := range [][2]bool{{false, true}, {true, false}, {true, true}} {
-		require.Equal(t, want, count(way[0], way[1]), "rest engine, rest front: %v", way)
+	ways := [4][2]bool{{false, false}, {false, true}, {true, false}, {true, true}}
+	var got [len(ways)]map[string]int
+	t.Run("ways", func(t *testing.T) { // side by side: most of each is waiting for deadlines
+		for i, way := range ways {
+			t.Run(fmt.Sprintf("rest engine %t, rest front %t", way[0], way[1]), func(t *testing.T) {
+				t.Parallel()
+				got[i] = count(t, way[0], way[1])
+			})
+		}
+	})
+	require.Len(t, got[0], 7, "refusals and failures are among them: %v", got[0])
+	for i, way := range ways {
+		require.Equal(t, got[0], got[i], "rest engine, rest front: %v", way)
 	}
 }
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -424,8 +425,12 @@
 	mu     sync.Mutex
 }
 
+var hosts atomic.Uint32
+
+// freeAddr is on a loopback address of its own: no test that runs beside it can take the port.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := hosts.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", n>>8, n&255))
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
