--- /dev/null
+++ b/internal/emulator/engine/engine_test.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// plain is an engine of so many cores where nothing but sharing happens.
+func plain(cores float64, memoryMB int64) Kind {
+	return Kind{Cores: cores, Disks: 1e9, Speed: 1, MemoryMB: memoryMB, Knee: 1e9, Thrash: 1, MostGrant: 1, Sessions: 1 << 30, WarmSets: 1}
+}
+
+// queue plays Poisson arrivals into an engine and returns the mean sojourn of those after
+// the first tenth, the time average of queries held over all, and the two sides of Little's law.
+func queue(t *testing.T, k Kind, perMS float64, n int, grant int64, work func() float64, rng *rand.Rand) (sojourn float64) {
+	e := New(k, 0, -1)
+	born := map[uint64]float64{}
+	var now, next, area, sum, all float64
+	var id uint64
+	ended := 0
+	next = rng.ExpFloat64() / perMS
+	for ended < n {
+		at := min(next, e.Next())
+		area += float64(e.InFlight()) * (at - now)
+		now = at
+		for _, end := range e.Advance(now) {
+			ended++
+			all += now - born[end.Job.ID]
+			if end.Job.ID > uint64(n/10) {
+				sum += now - born[end.Job.ID]
+			}
+			delete(born, end.Job.ID)
+		}
+		if now == next {
+			id++
+			born[id] = now
+			require.Equal(t, Taken, e.Start(now, &Job{ID: id, Work: work(), Threads: 1, GrantMB: grant, NeedMB: grant, Expires: math.Inf(1)}))
+			next = now + rng.ExpFloat64()/perMS
+		}
+	}
+	// Little's law on the path itself: what is held, over time, is what each spent here.
+	for _, at := range born {
+		all += now - at
+	}
+	require.InEpsilon(t, area, all, 1e-6)
+	b, left := e.Books()
+	require.InEpsilon(t, b.In, b.Done+b.Dropped+left, 1e-6, "work is conserved")
+	return sum / (float64(n) * 0.9)
+}
+
+// within99 holds replications against a formula: it must lie in their 99% interval (t, 19 degrees).
+func within99(t *testing.T, want float64, one func(rng *rand.Rand) float64) {
+	var x []float64
+	for i := range 20 {
+		x = append(x, one(rand.New(rand.NewPCG(uint64(i), 5))))
+	}
+	mean, sd := stat.MeanStdDev(x, nil)
+	half := distuv.StudentsT{Sigma: 1, Nu: 19}.Quantile(0.995) * sd / math.Sqrt(20)
+	require.Less(t, half, 0.1*want, "the interval is tight enough to tell")
+	require.InDelta(t, want, mean, half)
+}
+
+// M/G/1 processor sharing: the mean sojourn is E[S]/(1-rho), whatever the spread of the work.
+func TestProcessorSharingDependsOnTheMeanOnly(t *testing.T) {
+	const mean, rho = 10.0, 0.7
+	for _, cv := range []float64{0.2, 1, 2.5} {
+		within99(t, mean/(1-rho), func(rng *rand.Rand) float64 {
+			v := math.Log(1 + cv*cv)
+			d := distuv.LogNormal{Mu: math.Log(mean) - v/2, Sigma: math.Sqrt(v), Src: rng}
+			return queue(t, plain(1, 1<<40), rho/mean, 20000, 1, d.Rand, rng)
+		})
+	}
+}
+
+// With memory for c queries and a core for each, the line is an M/M/c queue: Erlang's C.
+func TestTheLineForMemoryIsErlangs(t *testing.T) {
+	const c, mean, rho = 4, 10.0, 0.8
+	a := c * rho
+	sum, term := 0.0, 1.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	wait := term / (1 - rho) / (sum + term/(1-rho))
+	want := mean + wait*mean/(c*(1-rho))
+	within99(t, want, func(rng *rand.Rand) float64 {
+		return queue(t, plain(c, 400), a/mean, 20000, 100, func() float64 { return mean * rng.ExpFloat64() }, rng)
+	})
+}
+
+func TestPrioritiesShareOneFourEightSixteen(t *testing.T) {
+	for _, io := range []float64{0, 1} { // cores, then disks, are what is short
+		k := plain(1, 1<<40)
+		k.Disks = 1
+		e := New(k, 0, -1)
+		jobs := make([]*Job, 4)
+		for p := range jobs {
+			jobs[p] = &Job{ID: uint64(p + 1), Work: 1000, IO: io, Threads: 1, Priority: p, Expires: math.Inf(1)}
+			e.Start(0, jobs[p])
+		}
+		e.Advance(29)
+		for p, share := range []float64{1, 4, 8, 16} {
+			require.InDelta(t, share, 1000-e.remaining(jobs[p]), 1e-9, "io %v, priority %d", io, p)
+		}
+	}
+}
+
+func TestDataSetsAreKeptByLatestUse(t *testing.T) {
+	k := plain(1, 1<<40)
+	k.WarmSets, k.WarmGain = 2, 0.5
+	e := New(k, 0, -1)
+	var hits []bool
+	for i, g := range []uint64{1, 2, 1, 3, 2, 1, 1, 3, 2, 3} {
+		j := &Job{ID: uint64(i + 1), Group: g, Work: 10, IO: 0.4, Threads: 1, Expires: math.Inf(1)}
+		e.Start(e.now, j)
+		hits = append(hits, j.Total() < 10)
+		if hits[i] {
+			require.InDelta(t, 8, j.Total(), 1e-9, "half of the reading is saved")
+		}
+		e.Advance(e.Next())
+	}
+	require.Equal(t, []bool{false, false, true, false, false, false, true, false, false, true}, hits)
+}
+
+func TestWarmingRamp(t *testing.T) {
+	k := plain(10, 1<<40)
+	k.ColdFrom, k.ColdMS = 0.4, 1000
+	e := New(k, 0, 0)
+	for i := range 20 {
+		e.Start(0, &Job{ID: uint64(i + 1), Work: 1e6, Threads: 1, Expires: math.Inf(1)})
+	}
+	for e.now < 2000 {
+		e.Advance(min(e.Next(), 2000))
+	}
+	require.InDelta(t, 10*(0.7*1000+1000), e.books.Done, 10*0.03*1000, "the ramp's mean, then all, within a step")
+	require.Equal(t, 0.7, e.Warmth(500))
+}
+
+func TestMemoryIsGrantedToTheLastByte(t *testing.T) {
+	e := New(plain(8, 1000), 0, -1)
+	start := func(id uint64, grant int64) *Job {
+		j := &Job{ID: id, Work: 100, Threads: 1, GrantMB: grant, NeedMB: grant, Priority: 1, Expires: 50}
+		e.Start(0, j)
+		return j
+	}
+	a, b := start(1, 600), start(2, 400)
+	c := start(3, 1)
+	require.Equal(t, []state{running, running, waiting}, []state{a.state, b.state, c.state})
+	require.EqualValues(t, 1000, e.GrantedMB())
+	d := start(4, 1)
+	e.Prioritize(0, 4, 3)
+	require.True(t, e.Cancel(1, 2))
+	require.Equal(t, []state{running, running}, []state{c.state, d.state})
+	f := start(5, 999)
+	ends := e.Advance(50)
+	require.Len(t, ends, 1)
+	require.True(t, ends[0].Expired && ends[0].Job == f, "its time ran out in the line")
+}
+
+func TestSpillingTakesMoreWork(t *testing.T) {
+	k := plain(1, 1000)
+	k.Spill = 2
+	e := New(k, 0, -1)
+	j := &Job{ID: 1, Work: 100, Threads: 1, GrantMB: 50, NeedMB: 200, Expires: math.Inf(1)}
+	e.Start(0, j)
+	require.InDelta(t, 100*(1+2*0.75), j.Total(), 1e-9)
+}
+
+// Whichever comes first in the order of events wins, and there is one end.
+func TestCancelledInTheInstantOfItsEnd(t *testing.T) {
+	for _, first := range []string{"cancel", "end"} {
+		e := New(plain(1, 1000), 0, -1)
+		e.Start(0, &Job{ID: 1, Work: 10, Threads: 1, Expires: math.Inf(1)})
+		if at := e.Next(); first == "cancel" {
+			require.True(t, e.Cancel(at, 1))
+			require.Empty(t, e.Advance(at))
+		} else {
+			require.Len(t, e.Advance(at), 1)
+			require.False(t, e.Cancel(at, 1))
+		}
+		b, left := e.Books()
+		require.InDelta(t, b.In, b.Done+b.Dropped+left, 1e-9)
+		require.Zero(t, e.GrantedMB())
+	}
+}
+
+func TestALoadHoldsItsDataSet(t *testing.T) {
+	e := New(plain(8, 1000), 0, -1)
+	start := func(id uint64, load, waits bool) *Job {
+		j := &Job{ID: id, Group: 7, Work: 100, Threads: 1, GrantMB: 10, Load: load, Waits: waits, Expires: math.Inf(1)}
+		e.Start(0, j)
+		return j
+	}
+	first, second, reader, free := start(1, true, false), start(2, true, false), start(3, false, true), start(4, false, false)
+	require.Equal(t, []state{running, blocked, blocked, running}, []state{first.state, second.state, reader.state, free.state})
+	require.EqualValues(t, 40, e.GrantedMB(), "what stands still keeps its memory")
+	e.Advance(e.Next())
+	require.Equal(t, []state{over, running, blocked}, []state{first.state, second.state, reader.state})
+	e.Cancel(e.now, 2)
+	require.Equal(t, running, reader.state)
+}
+
+func TestAColdEngineFallsOverAndAWarmOneDoesNot(t *testing.T) {
+	for _, started := range []float64{0, -1} {
+		k := plain(10, 1<<40)
+		k.ColdFrom, k.ColdMS, k.FallMultiple, k.FallMS, k.FallShare = 0.4, 10000, 3, 1000, 1
+		e := New(k, 0, started)
+		fell := false
+		for i := range 3000 {
+			fell = fell || e.Start(float64(i)/4, &Job{ID: uint64(i + 1), Work: 10, Usual: 10, Threads: 1, From: i % 2, Expires: math.Inf(1)}) == Fell
+		}
+		require.Equal(t, started == 0, fell)
+		if fell {
+			require.InDelta(t, 0.5, e.Pressure(func(from int) bool { return from == 0 }), 0.01)
+		}
+	}
+}
--- a/internal/emulator/observer/observer.go
+++ b/internal/emulator/observer/observer.go
@@ -221,8 +221,13 @@
 	o.close(coord, r)
 }
 
-// Gone is a request whose client left before an answer: none is owed.
-func (o *Observer) Gone(coord int, r *Request) { o.close(coord, r) }
+// Gone is a request whose client left: no answer is owed unless its time is up.
+func (o *Observer) Gone(at float64, coord int, r *Request) {
+	if limit := r.Until + o.s.Rules.AnswerSlackMS + o.slack; at > limit {
+		o.Break(OneAnswer, at, "%s: not answered in its time", r.Name)
+	}
+	o.close(coord, r)
+}
 
 func (o *Observer) close(coord int, r *Request) {
 	r.over = true
--- a/internal/emulator/world/coordinator.go
+++ b/internal/emulator/world/coordinator.go
@@ -54,6 +54,9 @@
 	at, until float64
 	grant     float64
 	priority  int
+	run       int  // of the coordinator
+	process   int  // of the engine
+	hungUp    bool // its connection is free or closed
 	over      bool // its outcome is known here
 	withdrawn bool // the engine has word that it is given up
 	job       *engine.Job
@@ -220,7 +223,7 @@
 	case inGone:
 		if r := in.r; !r.answered {
 			r.answered = true
-			c.effect(func(w *World) { w.obs.Gone(c.n, &r.Request) })
+			c.effect(func(w *World) { w.obs.Gone(now, c.n, &r.Request) })
 			c.tell(now, decide.ClientGone{ID: r.id})
 			c.forget(r)
 		}
@@ -361,12 +364,12 @@
 	if r == nil {
 		return
 	}
-	a := &attempt{c: c, r: r, n: len(r.attempts), at: now, until: now + min(act.Timeout, r.Until-now), grant: r.grant, priority: r.priority}
+	a := &attempt{c: c, r: r, run: c.run, n: len(r.attempts), at: now, until: now + min(act.Timeout, r.Until-now), grant: r.grant, priority: r.priority}
 	r.attempts = append(r.attempts, a)
 	r.running++
 	answered := r.answered
 	c.effect(func(w *World) {
-		n, run := w.byID[act.Engine], c.run
+		n := w.byID[act.Engine]
 		hall := c.hall
 		if n != nil {
 			hall = n.hall
@@ -378,7 +381,7 @@
 		}
 		a.node = n
 		post := func(in any) {
-			if c.run == run {
+			if c.run == a.run {
 				c.post(w, in)
 			}
 		}
@@ -416,6 +419,7 @@
 	w := n.w
 	switch {
 	case n.silent:
+		n.open--
 		return
 	case !n.up || n.run != process:
 		w.loop.After(w.oneWay(n.hall, c.hall), func() { end(decide.OutcomeReset, nil) })
--- a/internal/emulator/world/node.go
+++ b/internal/emulator/world/node.go
@@ -128,19 +128,27 @@
 	if n.silent {
 		return
 	}
-	w, c, run, process := n.w, a.c, a.c.run, n.run
+	w, c := n.w, a.c
 	w.loop.After(w.oneWay(n.hall, c.hall), func() {
-		if out != decide.OutcomeReset && n.run == process && n.up {
-			c.pool(n).give(w.loop.Now())
-		} else {
-			n.open--
-		}
-		if c.run == run {
+		n.hangUp(a, out != decide.OutcomeReset && c.run == a.run)
+		if c.run == a.run {
 			c.post(w, inEnded{a, out, j})
 		}
 	})
 }
 
+// hangUp ends an attempt's use of its connection, once: kept for another, or closed.
+func (n *node) hangUp(a *attempt, keep bool) {
+	if a.hungUp || n.run != a.process || !n.up {
+		return
+	}
+	if a.hungUp = true; keep {
+		a.c.pool(n).give(n.w.loop.Now())
+	} else {
+		n.open--
+	}
+}
+
 func (n *node) stall(on bool) {
 	if !n.up || n.stalled == on {
 		return
@@ -159,6 +167,7 @@
 // accept is a query that has come whole to the engine.
 func (n *node) accept(a *attempt, process int) {
 	w := n.w
+	a.process = process
 	switch {
 	case n.silent:
 		return
@@ -200,6 +209,7 @@
 
 // withdraw is word that an attempt is given up.
 func (n *node) withdraw(a *attempt) {
+	n.hangUp(a, false)
 	if a.withdrawn = true; !n.up || n.silent || a.job == nil {
 		return
 	}
--- /dev/null
+++ b/internal/emulator/world/rules_test.go
@@ -0,0 +1,164 @@
+package world_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"aniseloft/decide"
+	"aniseloft/internal/emulator/observer"
+	"aniseloft/internal/emulator/policy"
+	"aniseloft/internal/emulator/scenario"
+	"aniseloft/internal/emulator/world"
+	"aniseloft/scenarios"
+)
+
+// careless sends each request as its rule breaker says; else it keeps quiet.
+type careless struct {
+	set     decide.Settings
+	engines []decide.EngineID // every one ever listed, in order of hearing
+	arrived func(c *careless, ev decide.Arrived) []decide.Action
+	ended   func(c *careless, ev decide.AttemptEnded) []decide.Action
+	turn    int
+}
+
+func (c *careless) Handle(_ decide.Millis, ev decide.Event) []decide.Action {
+	switch ev := ev.(type) {
+	case decide.ListChanged:
+		for _, e := range ev.Entries {
+			known := false
+			for _, id := range c.engines {
+				known = known || id == e.ID
+			}
+			if !known {
+				c.engines = append(c.engines, e.ID)
+			}
+		}
+	case decide.Arrived:
+		return c.arrived(c, ev)
+	case decide.AttemptEnded:
+		if ev.Closed {
+			return nil
+		}
+		if c.ended != nil {
+			return c.ended(c, ev)
+		}
+		return []decide.Action{decide.Fail{ID: ev.ID}}
+	}
+	return nil
+}
+
+func (c *careless) any() decide.EngineID {
+	c.turn++
+	return c.engines[c.turn%len(c.engines)]
+}
+
+func (c *careless) sends(ev decide.Arrived, n int) (l []decide.Action) {
+	for range n {
+		l = append(l, decide.Send{ID: ev.ID, Engine: c.any(), Timeout: ev.Left})
+	}
+	return l
+}
+
+func once(c *careless, ev decide.Arrived) []decide.Action { return c.sends(ev, 1) }
+
+func TestEveryBrokenRuleIsReported(t *testing.T) {
+	type act = []decide.Action
+	zero := 0.0
+	for rule, one := range map[string]struct {
+		change  func(s *scenario.Scenario)
+		arrived func(c *careless, ev decide.Arrived) []decide.Action
+		ended   func(c *careless, ev decide.AttemptEnded) []decide.Action
+	}{
+		observer.OneAnswer: {arrived: func(*careless, decide.Arrived) act { return nil }},
+		observer.Effects: {arrived: func(c *careless, ev decide.Arrived) act {
+			return append(c.sends(ev, 1), decide.Refuse{ID: ev.ID})
+		}},
+		observer.Truth: {arrived: func(c *careless, ev decide.Arrived) act { return c.sends(ev, 2) }},
+		observer.Drains: {arrived: once, change: func(s *scenario.Scenario) {
+			s.Troubles = []scenario.Trouble{{Kind: scenario.Drain, AtMS: scenario.Range{Lo: 1000, Hi: 1000}, Engines: []int{2}}}
+			s.Roster.NoticeMS = scenario.Range{}
+		}},
+		observer.FailBack: {arrived: func(c *careless, ev decide.Arrived) act {
+			return act{decide.Send{ID: ev.ID, Engine: c.engines[len(c.engines)-1], Timeout: ev.Left}}
+		}, change: func(s *scenario.Scenario) {
+			s.Troubles = []scenario.Trouble{{Kind: scenario.Join, AtMS: scenario.Range{Lo: 500, Hi: 500}, Count: 1}}
+			s.Roster.NoticeMS = scenario.Range{}
+		}},
+		observer.Order:     {arrived: once, change: func(s *scenario.Scenario) { s.Classes[0].InOrder = true }},
+		observer.Placement: {arrived: once, change: func(s *scenario.Scenario) { s.Classes[0].Halls = []int{1} }},
+		observer.Ration: {arrived: once, ended: func(c *careless, ev decide.AttemptEnded) act {
+			return act{decide.Send{ID: ev.ID, Engine: c.any(), Timeout: 1000}}
+		}, change: func(s *scenario.Scenario) { s.Rules.RepeatRatio, s.Engines.ErrorRate = &zero, 0.2 }},
+		observer.Attempts: {arrived: func(c *careless, ev decide.Arrived) act { return c.sends(ev, 4) }},
+		observer.Unknown: {arrived: func(c *careless, ev decide.Arrived) act {
+			return act{decide.Send{ID: ev.ID, Engine: 1, Timeout: ev.Left}}
+		}},
+	} {
+		t.Run(rule, func(t *testing.T) {
+			day := func(make func(set decide.Settings, seed uint64) (policy.Policy, error)) *observer.Report {
+				s, err := scenarios.Load("calm-weekday")
+				require.NoError(t, err)
+				s.DurationMS = 4000
+				if one.change != nil {
+					one.change(s)
+				}
+				r, err := world.Run(s, world.Options{Seed: 1, Policy: policy.Module, New: make})
+				require.NoError(t, err)
+				return r
+			}
+			var names []string
+			for _, b := range day(func(set decide.Settings, _ uint64) (policy.Policy, error) {
+				return &careless{set: set, arrived: one.arrived, ended: one.ended}, nil
+			}).Rules {
+				names = append(names, b.Rule)
+			}
+			require.Contains(t, names, rule)
+			require.Zero(t, day(nil).RulesBroken, "the module keeps the rules on that day")
+		})
+	}
+}
+
+// Whatever the day: nothing panics, work is conserved (or Run fails), and every request has one end.
+func TestDrawnDays(t *testing.T) {
+	kinds := []string{scenario.Burst, scenario.Slow, scenario.Stalls, scenario.RosterDown, scenario.RosterBehind, scenario.Join,
+		scenario.Drain, scenario.Restart, scenario.Crash, scenario.Replace, scenario.Vanish, scenario.CoordinatorCrash}
+	rapid.Check(t, func(t *rapid.T) {
+		s, err := scenarios.Load("calm-weekday")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.DurationMS = 3000
+		s.Engines.Count = rapid.IntRange(1, 6).Draw(t, "engines")
+		s.Engines.Sessions = rapid.IntRange(1, 100).Draw(t, "sessions")
+		s.Engines.Connections = rapid.IntRange(1, 500).Draw(t, "connections")
+		s.Coordinators.Count = rapid.IntRange(1, 4).Draw(t, "coordinators")
+		s.Load.PerS = rapid.Float64Range(1, 400).Draw(t, "load")
+		s.Classes[0].Waits = rapid.Bool().Draw(t, "waits")
+		for range rapid.IntRange(0, 5).Draw(t, "troubles") {
+			at := rapid.Float64Range(0, 2500).Draw(t, "at")
+			length := rapid.Float64Range(100, 2000).Draw(t, "for")
+			fix := func(x float64) scenario.Range { return scenario.Range{Lo: x, Hi: x} }
+			s.Troubles = append(s.Troubles, scenario.Trouble{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), AtMS: fix(at), ForMS: fix(length),
+				Size: fix(2), SizeMS: fix(300), EveryMS: fix(500), Part: fix(0.45), Count: 1,
+				Engines:      []int{rapid.IntRange(0, s.Engines.Count-1).Draw(t, "engine")},
+				Coordinators: []int{rapid.IntRange(0, s.Coordinators.Count-1).Draw(t, "coordinator")}})
+		}
+		who := rapid.SampledFrom(policy.Names()).Draw(t, "policy")
+		r, err := world.Run(s, world.Options{Seed: rapid.Uint64().Draw(t, "seed"), Policy: who})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range r.Classes {
+			if c.Served+c.Never != c.First {
+				t.Fatalf("%s: %d served and %d not, of %d", c.Name, c.Served, c.Never, c.First)
+			}
+		}
+		for _, b := range r.Rules {
+			if b.Rule != observer.FailBack || who == policy.Module {
+				t.Fatalf("%s: %v", who, b)
+			}
+		}
+	})
+}
