--- a/internal/ctl/emulate.go
+++ b/internal/ctl/emulate.go
@@ -18,7 +18,7 @@
 )
 
 func emulate() *cobra.Command {
-	return group("emulate", "Rehearse incidents: in virtual time, or with real coordinators", emulateList(), emulateCheck(), emulateRun())
+	return group("emulate", "Rehearse incidents: in virtual time, or with real coordinators", emulateList(), emulateCheck(), emulateRun(), emulateRehearse(), emulateServe())
 }
 
 func emulateList() *cobra.Command {
--- /dev/null
+++ b/internal/emulator/live/journal.go
@@ -0,0 +1,161 @@
+package live
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"aniseloft/decide"
+	"aniseloft/internal/emulator/observer"
+)
+
+var quiet = log.New(io.Discard, "", 0)
+
+const outcomeFull = decide.OutcomeFull
+
+func engineID(id uint32) decide.EngineID { return decide.EngineID(id) }
+
+// entry is one event of the journal service.
+type entry struct {
+	Pos   int `json:"pos"`
+	Hosts struct {
+		Version int      `json:"version"`
+		Full    bool     `json:"full"`
+		Servers []server `json:"servers"`
+	} `json:"hosts"`
+}
+
+type server struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started float64 `json:"started_ms"`
+	engine  decide.EngineID
+}
+
+var stateNames = map[decide.EngineState]string{decide.EngineReady: "active", decide.EngineDraining: "leaving", decide.EngineGone: "left"}
+var stateOf = map[string]decide.EngineState{"active": decide.EngineReady, "leaving": decide.EngineDraining, "left": decide.EngineGone}
+
+// journal is the roster as real coordinators follow it; each has an address of its own there.
+type journal struct {
+	mu      sync.Mutex
+	entries []entry
+	wake    chan struct{}
+	down    bool
+	behind  float64
+	told    func(coord int, s server)
+	servers []*http.Server
+	addrs   []string
+}
+
+func newJournal(coordinators int, told func(coord int, s server)) (*journal, error) {
+	j := &journal{wake: make(chan struct{}), told: told}
+	for c := range coordinators {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("journal service: %w", err)
+		}
+		srv := &http.Server{ReadHeaderTimeout: 5 * time.Second, ErrorLog: quiet,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { j.serve(c, w, r) })}
+		j.servers, j.addrs = append(j.servers, srv), append(j.addrs, l.Addr().String())
+		go func() { _ = srv.Serve(l) }()
+	}
+	return j, nil
+}
+
+func (j *journal) close() {
+	for _, s := range j.servers {
+		_ = s.Close()
+	}
+}
+
+func (j *journal) publish(full bool, servers ...server) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var e entry
+	e.Pos = len(j.entries) + 1
+	e.Hosts.Version, e.Hosts.Full, e.Hosts.Servers = e.Pos, full, servers
+	j.entries = append(j.entries, e)
+	close(j.wake)
+	j.wake = make(chan struct{})
+}
+
+func (j *journal) reach(down bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.down = down
+	close(j.wake)
+	j.wake = make(chan struct{})
+}
+
+// since are the events after tail, for as long as the service can be reached.
+func (j *journal) since(tail int) (l []entry, wake chan struct{}, down bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.entries[min(max(tail, 0), len(j.entries)):], j.wake, j.down
+}
+
+func (j *journal) serve(coord int, w http.ResponseWriter, r *http.Request) {
+	tail, err1 := strconv.Atoi(r.URL.Query().Get("tail"))
+	wait, err2 := strconv.Atoi(r.URL.Query().Get("max_wait"))
+	if err1 != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	end := time.After(time.Duration(min(wait, 5000)) * time.Millisecond)
+	for {
+		l, wake, down := j.since(tail)
+		if down {
+			panic(http.ErrAbortHandler) // out of reach: connections end without an answer
+		}
+		if len(l) > 0 {
+			j.write(coord, w, l)
+			return
+		}
+		select {
+		case <-wake:
+		case <-end:
+			j.write(coord, w, []entry{})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (j *journal) write(coord int, w http.ResponseWriter, l []entry) {
+	j.mu.Lock()
+	pos := len(j.entries)
+	j.mu.Unlock()
+	if len(l) > 0 {
+		pos = l[len(l)-1].Pos
+	}
+	b, err := json.Marshal(map[string]any{"pos": pos, "entries": l})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b)
+	for _, e := range l {
+		for _, s := range e.Hosts.Servers {
+			j.told(coord, s)
+		}
+	}
+}
+
+// toldOf books news of the list as its coordinator has them.
+func toldOf(b *Book, clock func() float64) func(int, server) {
+	return func(coord int, s server) {
+		b.with(func(o *observer.Observer) { o.Told(clock(), coord, s.engine, stateOf[s.State]) })
+	}
+}
--- /dev/null
+++ b/internal/emulator/live/live_test.go
@@ -0,0 +1,85 @@
+package live_test
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/emulator/live"
+	"aniseloft/internal/emulator/observer"
+	"aniseloft/internal/emulator/scenario"
+	"aniseloft/scenarios"
+)
+
+// log collects what coordinators print.
+type log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *log) String() string { l.mu.Lock(); defer l.mu.Unlock(); return l.text.String() }
+
+func (l *log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.Write(b)
+}
+
+// A short, light day with patient clients, so that its verdict does not hang on how
+// busy the machine is: an engine drains, one dies, a coordinator is killed.
+func TestRehearsalWithTheRealProgram(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "aniseloft")
+	out, err := exec.Command("go", "build", "-o", program, "aniseloft/cmd/aniseloft").CombinedOutput()
+	require.NoError(t, err, string(out))
+	s, err := scenarios.Load("calm-weekday")
+	require.NoError(t, err)
+	fix := func(x float64) scenario.Range { return scenario.Range{Lo: x, Hi: x} }
+	s.DurationMS, s.Load.PerS, s.Engines.Count, s.Coordinators.Count, s.Engines.ErrorRate = 5000, 25, 4, 2, 0
+	for i := range s.Classes {
+		s.Classes[i].AimMS, s.Classes[i].DeadlineMS = 20000, 20000
+		s.Classes[i].WorkMS = fix(60)
+	}
+	s.Clients.Habits = []scenario.Habit{{Share: 1, Retries: 3, WaitMS: fix(300)}}
+	s.Roster.NoticeMS, s.Front.NoticeMS = fix(200), fix(300)
+	s.Troubles = []scenario.Trouble{
+		{Kind: scenario.Drain, AtMS: fix(500), ForMS: fix(2000), Engines: []int{0}},
+		{Kind: scenario.Crash, AtMS: fix(1000), ForMS: fix(1500), Engines: []int{1}},
+		{Kind: scenario.CoordinatorCrash, AtMS: fix(2000), ForMS: fix(800), Coordinators: []int{1}},
+	}
+	var printed log
+	r, err := live.Run(context.Background(), s, live.Options{Seed: 3, Coordinator: program, Log: &printed})
+	require.NoError(t, err)
+	require.Empty(t, r.Rules, printed.String())
+	var first, served int
+	for _, c := range r.Classes {
+		first, served = first+c.First, served+c.Served
+	}
+	require.Greater(t, first, 60)
+	require.GreaterOrEqual(t, served, first*9/10, "clients come again: few loads at most are lost with a process")
+	require.InEpsilon(t, r.Totals.WorkIn, r.Totals.Served+r.Totals.Wasted+r.Totals.Dropped+r.Totals.Left, 1e-3)
+	require.NotContains(t, printed.String(), "panicked")
+}
+
+// A program that never answers must not pass: the rules are judged on sockets too.
+func TestARehearsalSeesRequestsThatAreNeverAnswered(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "mute")
+	out, err := exec.Command("go", "build", "-o", program, "./testdata/mute").CombinedOutput()
+	require.NoError(t, err, string(out))
+	s, err := scenarios.Load("calm-weekday")
+	require.NoError(t, err)
+	s.DurationMS, s.Load.PerS, s.Coordinators.Count = 1000, 10, 1
+	for i := range s.Classes {
+		s.Classes[i].AimMS, s.Classes[i].DeadlineMS = 300, 300
+	}
+	r, err := live.Run(context.Background(), s, live.Options{Seed: 3, Coordinator: program, Log: &log{}})
+	require.NoError(t, err)
+	require.Len(t, r.Rules, 1)
+	require.Equal(t, observer.OneAnswer, r.Rules[0].Rule)
+	require.Zero(t, r.Service)
+}
--- /dev/null
+++ b/internal/emulator/live/troubles.go
@@ -0,0 +1,170 @@
+package live
+
+import (
+	"context"
+	"syscall"
+
+	"aniseloft/decide"
+	"aniseloft/internal/emulator/observer"
+	"aniseloft/internal/emulator/scenario"
+)
+
+func (d *Day) note(format string, args ...any) {
+	d.book.with(func(o *observer.Observer) { o.Note(d.clock.Now(), format, args...) })
+}
+
+// act lets one trouble, or its end, befall the real fleet.
+func (d *Day) act(ctx context.Context, a scenario.Act) {
+	var e *Engine
+	if a.Engine < len(d.fleet) {
+		e = d.fleet[a.Engine]
+	}
+	switch a.Kind {
+	case scenario.ActStall:
+		e.change(func(now float64) {
+			e.stalled = a.Value > 0
+			e.model.Stall(now, e.stalled)
+		})
+	case scenario.ActSlow:
+		d.mu.Lock()
+		d.slow = a.Value
+		d.mu.Unlock()
+		for _, e := range d.fleet {
+			e.change(func(now float64) { e.model.Slow(now, a.Value) })
+		}
+		d.note("engines %.2f times slower", a.Value)
+	case scenario.ActRoster:
+		d.journal.reach(a.Value > 0)
+		d.note("roster out of reach: %t", a.Value > 0)
+		d.release(a.Value == 0)
+	case scenario.ActBehind:
+		d.mu.Lock()
+		d.journal.behind = a.Value
+		d.mu.Unlock()
+		d.note("roster %.0f ms behind", a.Value)
+	case scenario.ActJoin, scenario.ActReturn:
+		d.mu.Lock()
+		slow := d.slow
+		d.mu.Unlock()
+		if e.isUp() || e.left {
+			return
+		}
+		if err := e.boot(d.clock.Now(), slow); err != nil {
+			d.note("%v", err)
+			return
+		}
+		d.note("engine %d starts cold", e.place)
+		d.changed(e, decide.EngineReady, false)
+	case scenario.ActDrain:
+		if !e.isUp() {
+			return
+		}
+		e.change(func(float64) { e.draining = true })
+		d.note("engine %d drains", e.place)
+		d.changed(e, decide.EngineDraining, false)
+	case scenario.ActLeave, scenario.ActCrash:
+		if !e.isUp() {
+			return
+		}
+		e.left = e.left || a.Kind == scenario.ActLeave
+		e.die()
+		d.note("engine %d ends", e.place)
+		d.changed(e, decide.EngineGone, false)
+	case scenario.ActVanish:
+		e.change(func(float64) { e.silent = a.Value > 0 })
+		d.note("engine %d silent: %t", e.place, a.Value > 0)
+		if a.Value > 0 {
+			d.changed(e, decide.EngineGone, true)
+		} else {
+			d.changed(e, decide.EngineReady, false)
+		}
+	case scenario.ActCoordinatorDies:
+		d.kill(d.nodes, a.Coordinator)
+	case scenario.ActCoordinatorStarts:
+		if len(d.nodes) == 0 {
+			return
+		}
+		p := d.nodes[a.Coordinator]
+		if err := d.start(p); err != nil {
+			d.note("coordinator %d: %v", p.n, err)
+			return
+		}
+		d.note("coordinator %d starts", p.n)
+		if d.alive(ctx, p) == nil {
+			d.later(func() { d.front.Set(p.n, true) })
+		}
+	}
+}
+
+func (d *Day) kill(nodes []*process, n int) {
+	if len(nodes) == 0 {
+		return
+	}
+	d.mu.Lock()
+	d.died[n] = d.clock.Now()
+	d.mu.Unlock()
+	d.book.with(func(o *observer.Observer) { o.Died(n) })
+	d.stop(nodes[n], syscall.SIGKILL)
+	d.note("coordinator %d is killed", n)
+	d.later(func() { d.front.Set(n, false) })
+}
+
+// later runs what the front comes to hold.
+func (d *Day) later(f func()) {
+	d.frontMu.Lock()
+	notice := d.front.Notice()
+	d.frontMu.Unlock()
+	d.clock.after(d.clock.Now()+notice, func() {
+		d.frontMu.Lock()
+		defer d.frontMu.Unlock()
+		f()
+	})
+}
+
+func (e *Engine) isUp() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.up
+}
+
+// changed is something that the roster notices after a while, and tells once it can be reached.
+func (d *Day) changed(e *Engine, state decide.EngineState, silent bool) {
+	d.mu.Lock()
+	r := d.s.Roster.NoticeMS
+	if silent {
+		r = d.s.Roster.SilentMS
+	}
+	wait := r.Draw(d.roster) + d.journal.behind + d.s.Roster.SpreadMS.Draw(d.roster)
+	d.mu.Unlock()
+	tell := func() {
+		e.mu.Lock()
+		stale := silent && !e.silent // heard again before the roster saw that it was gone
+		line := d.line(e, state)
+		e.mu.Unlock()
+		if !stale {
+			d.journal.publish(false, line)
+		}
+	}
+	d.clock.after(d.clock.Now()+wait, func() {
+		if _, _, down := d.journal.since(0); down {
+			d.mu.Lock()
+			d.kept = append(d.kept, tell)
+			d.mu.Unlock()
+			return
+		}
+		tell()
+	})
+}
+
+func (d *Day) release(back bool) {
+	if !back {
+		return
+	}
+	d.mu.Lock()
+	kept := d.kept
+	d.kept = nil
+	d.mu.Unlock()
+	for _, f := range kept {
+		f()
+	}
+}
--- a/internal/emulator/world/clients.go
+++ b/internal/emulator/world/clients.go
@@ -3,47 +3,14 @@
 import (
 	"cmp"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 
 	"aniseloft/decide"
+	"aniseloft/internal/emulator/clients"
 	"aniseloft/internal/emulator/observer"
 	"aniseloft/internal/emulator/scenario"
 )
 
-// front spreads clients over the coordinators of their hall that it holds for alive.
-type front struct {
-	w     *World
-	rng   *rand.Rand
-	alive []*coordinator
-	turn  int
-}
-
-func (f *front) set(c *coordinator, alive bool) {
-	f.alive = slices.DeleteFunc(f.alive, func(o *coordinator) bool { return o == c })
-	if alive && c.up {
-		f.alive = append(f.alive, c)
-		slices.SortFunc(f.alive, func(a, b *coordinator) int { return cmp.Compare(a.n, b.n) })
-	}
-}
-
-func (f *front) pick(hall int) *coordinator {
-	var near []*coordinator
-	for _, c := range f.alive {
-		if c.hall == hall {
-			near = append(near, c)
-		}
-	}
-	if len(near) == 0 {
-		near = f.alive
-	}
-	if len(near) == 0 {
-		return nil
-	}
-	f.turn++
-	return near[f.turn%len(near)]
-}
-
 // client is one who asks, over all its tries.
 type client struct {
 	w     *World
@@ -67,8 +34,7 @@
 		return
 	}
 	w.loop.At(q.At, func() {
-		cl := &client{w: w, q: q, asked: observer.Asked{Class: q.Class, At: q.At, Aim: w.s.Aim(q),
-			Threshold: q.At + w.s.Classes[q.Class].DeadlineMS}}
+		cl := &client{w: w, q: q, asked: clients.NewAsked(w.s, q)}
 		w.obs.Asks(&cl.asked)
 		cl.try()
 		w.nextAsk()
@@ -80,8 +46,11 @@
 	now := w.loop.Now()
 	cl.tries++
 	w.tries++
-	t := &try{cl: cl, c: w.front.pick(cl.q.Hall)}
-	until := min(now+w.s.Classes[cl.q.Class].DeadlineMS*cl.q.Patience, cl.asked.Threshold)
+	t := &try{cl: cl}
+	if n := w.front.Pick(cl.q.Hall); n >= 0 {
+		t.c = w.coords[n]
+	}
+	until := clients.Until(w.s, cl.q, &cl.asked, now)
 	t.r = &open{id: requestID(w.tries), q: cl.q, try: t, priority: 1}
 	t.r.Request = observer.Request{Name: fmt.Sprintf("request %d.%d", cl.q.N, cl.tries), Class: cl.q.Class, Key: cl.q.Group,
 		Until: until, Asked: &cl.asked}
@@ -127,14 +96,7 @@
 	t.done = true
 	cl, w := t.cl, t.cl.w
 	now := w.loop.Now()
-	again := cl.tries <= len(cl.q.RetryWaits) && kind != observer.Served
-	var wait float64
-	if again {
-		if wait = cl.q.RetryWaits[cl.tries-1]; cl.q.Honours && kind == observer.Refused {
-			wait = max(wait, comeBack)
-		}
-		again = now+wait < cl.asked.Threshold
-	}
+	wait, again := clients.Again(cl.q, &cl.asked, cl.tries, kind, comeBack, now)
 	w.obs.Got(now, &cl.asked, kind, !again)
 	if again {
 		w.loop.After(wait, func() {
--- a/internal/emulator/world/coordinator.go
+++ b/internal/emulator/world/coordinator.go
@@ -117,11 +117,7 @@
 		n.open -= len(c.pool(n).idle)
 	}
 	c.requests, c.pools, c.inbox, c.next = nil, nil, nil, nil
-	w.loop.After(w.s.Front.NoticeMS.Draw(w.front.rng), func() {
-		if !c.up {
-			w.front.set(c, false)
-		}
-	})
+	w.loop.After(w.front.Notice(), func() { w.front.Set(c.n, c.up) })
 }
 
 func (c *coordinator) pool(n *node) *pool {
--- a/internal/emulator/world/node.go
+++ b/internal/emulator/world/node.go
@@ -30,21 +30,12 @@
 }
 
 func (w *World) newNode(place int) *node {
-	e := w.s.Engines
-	n := &node{w: w, place: place, hall: w.s.HallOf(place), id: decide.EngineID(w.ids.Uint32())}
-	rng := w.drawn
-	n.kind = engine.Kind{Cores: e.Cores, Disks: e.Disks, Speed: e.Speed.Draw(rng), MemoryMB: int64(e.MemoryMB),
-		Knee: e.Knee.Draw(rng), Thrash: e.Thrash.Draw(rng), Seek: e.Seek.Draw(rng), Spill: e.Spill.Draw(rng), MostGrant: e.MostGrant,
-		Sessions: e.Sessions, WarmSets: int(math.Round(e.WarmSets.Draw(rng))), WarmGain: e.WarmGain.Draw(rng),
-		ColdFrom: e.ColdFrom.Draw(rng), ColdMS: e.ColdMS.Draw(rng), FallMultiple: w.s.Rules.FallMultiple, FallMS: w.s.Rules.FallMS,
-		FallShare: capacityUse / w.corePart, ReportPeriodMS: e.ReportPeriodMS.Draw(rng), ReportDelayMS: e.ReportDelayMS.Draw(rng)}
+	n := &node{w: w, place: place, hall: w.s.HallOf(place), id: decide.EngineID(w.ids.Uint32()),
+		kind: engine.Draw(w.s, w.drawn, w.corePart)}
 	w.byID[n.id] = n
 	return n
 }
 
-// capacityUse is how busy the cores are at an engine's capacity.
-const capacityUse = 0.85
-
 // boot starts a process; one that started before the day (below 0) is warm.
 func (n *node) boot(now, started float64) {
 	n.closeBooks()
@@ -186,11 +177,9 @@
 	}
 	now, r := w.loop.Now(), a.r
 	w.jobs++
-	a.job = &engine.Job{ID: w.jobs, Class: r.q.Class, Group: r.q.Group, Work: r.q.Work, IO: r.q.IO,
-		Threads: w.s.Classes[r.q.Class].Threads, NeedMB: int64(math.Ceil(r.q.NeedMB)), GrantMB: int64(a.grant),
-		Estimate: int64(r.q.GuessMB), UsualMB: int64(w.s.Classes[r.q.Class].MemoryMB), Usual: w.asks.Usual(r.q.Class), From: a.c.n,
-		Priority: a.priority, Load: w.s.Classes[r.q.Class].Load, Waits: w.s.Classes[r.q.Class].Waits,
-		Expires: a.until, Owner: a}
+	a.job = engine.NewJob(w.s, r.q, w.asks.Usual(r.q.Class))
+	a.job.ID, a.job.From, a.job.Owner = w.jobs, a.c.n, a
+	a.job.GrantMB, a.job.Priority, a.job.Expires = int64(a.grant), a.priority, a.until
 	n.sync(func() {
 		switch n.model.Start(now, a.job) {
 		case engine.Full:
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 
 	"aniseloft/decide"
+	"aniseloft/internal/emulator/clients"
 	"aniseloft/internal/emulator/des"
 	"aniseloft/internal/emulator/engine"
 	"aniseloft/internal/emulator/observer"
@@ -39,7 +40,7 @@
 	coords   []*coordinator
 	turnDue  bool
 	roster   roster
-	front    front
+	front    *clients.Front
 	net      *rand.Rand
 	noise    *rand.Rand
 	errors   *rand.Rand
@@ -82,7 +83,7 @@
 	stream := func(concern string) *rand.Rand { return des.Stream(opt.Seed, concern) }
 	w.net, w.noise, w.errors = stream("network"), stream("report noise"), stream("errors")
 	w.drawn, w.ids = stream("engines"), stream("engine ids")
-	w.roster.rng, w.front.rng = stream("roster"), stream("front")
+	w.roster.rng, w.front = stream("roster"), clients.NewFront(s, stream("front"))
 	if w.opt.New == nil {
 		w.opt.New = func(set decide.Settings, seed uint64) (policy.Policy, error) {
 			return policy.New(opt.Policy, set, seed)
@@ -107,10 +108,6 @@
 			return nil, err
 		}
 	}
-	w.front.w = w
-	for _, c := range w.coords {
-		w.front.alive = append(w.front.alive, c)
-	}
 	for _, a := range w.tl.Acts {
 		w.loop.At(a.At, func() { w.act(a) })
 	}
@@ -171,8 +168,7 @@
 	case scenario.ActCoordinatorStarts:
 		w.obs.Note(now, "coordinator %d starts", a.Coordinator)
 		if err := w.start(w.coords[a.Coordinator]); err == nil {
-			c := w.coords[a.Coordinator]
-			w.loop.After(w.s.Front.NoticeMS.Draw(w.front.rng), func() { w.front.set(c, true) })
+			w.loop.After(w.front.Notice(), func() { w.front.Set(a.Coordinator, w.coords[a.Coordinator].up) })
 		}
 	}
 }
--- a/internal/experiment/chart.go
+++ b/internal/experiment/chart.go
@@ -120,6 +120,7 @@
 		p.Legend.Add(who, bar)
 	}
 	p.NominalX(names...)
+	p.X.Min, p.X.Max = -0.6, float64(len(names))-0.4
 	p.X.Tick.Label.Rotation, p.X.Tick.Label.XAlign = 0.5, -1
 	p.Legend.Top, p.Legend.Left, p.Y.Max = true, true, 1.35
 	return p, nil
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,11 +11,13 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
 	"aniseloft/internal/emulator/observer"
+	"aniseloft/internal/emulator/policy"
 	"aniseloft/internal/emulator/world"
 )
 
@@ -27,7 +30,7 @@
 
 const resultsFile = "results.jsonl"
 
-// Load reads the results kept in a folder. A last line cut off by an interruption is
+// Load reads the results kept in a folder, in the same order whatever the order in which they ended. A last line cut off by an interruption is
 // left out; anything else that can't be read is an error that names its line.
 func Load(dir string) ([]Result, error) {
 	path := filepath.Join(dir, resultsFile)
@@ -41,6 +44,10 @@
 	for n := 1; ; n++ {
 		line, err := r.ReadBytes('\n')
 		if err != nil { // no whole line is left
+			slices.SortStableFunc(all, func(a, b Result) int {
+				return cmp.Or(cmp.Compare(a.Scenario, b.Scenario), cmp.Compare(a.Variant, b.Variant),
+					cmp.Compare(slices.Index(policy.Names(), a.Policy), slices.Index(policy.Names(), b.Policy)), cmp.Compare(a.Seed, b.Seed))
+			})
 			return all, nil
 		}
 		var one Result
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -52,7 +52,7 @@
 	Wasted   float64  `json:"wasted_part"`
 }
 
-// Rows sums results up, in the order in which scenarios, variants and policies first come.
+// Rows sums results up, in the order that Load gives them.
 func Rows(results []Result) []Row {
 	type at struct{ s, v, p string }
 	var order []at
@@ -64,7 +64,6 @@
 		}
 		by[k] = append(by[k], r)
 	}
-	slices.SortStableFunc(order, func(a, b at) int { return strings.Compare(a.s+"\x00"+a.v, b.s+"\x00"+b.v) })
 	var rows []Row
 	for _, k := range order {
 		row := Row{Scenario: k.s, Variant: k.v, Policy: k.p}
@@ -77,7 +76,6 @@
 			row.Broken += r.Report.RulesBroken
 			row.Wasted += r.Report.Totals.Wasted / max(r.Report.Totals.WorkIn, 1) / n
 		}
-		slices.Sort(service) // the order in which days ended must not show
 		row.Service = Bootstrap(service)
 		rows = append(rows, row)
 	}
