--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -27,7 +27,7 @@
 func (l *log) Write(b []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Buffer.Write(b)
+	return l.text.Write(b)
 }
 
 // A short, light day with patient clients, so that its verdict does not hang on how
