Test work given up, the order of the line and coordinators started again

Ten rules were each taken out of the observer and eight lines of the model broken on purpose: every rule's test failed as it must, three model faults passed unseen. Tests for these are added and each now fails when its line is broken.

--- a/internal/emulator/engine/engine_test.go
+++ b/internal/emulator/engine/engine_test.go
@@ -220,3 +220,35 @@
 		}
 	}
 }
+
+func TestWorkGivenUpIsDroppedAndBooked(t *testing.T) {
+	e := New(plain(1, 1000), 0, -1)
+	for id := range uint64(3) {
+		e.Start(0, &Job{ID: id + 1, Group: 5, Work: 100, Threads: 1, GrantMB: 10, Load: id > 0, Expires: math.Inf(1)})
+	}
+	e.Advance(30) // the third stands still behind the second: two share the core
+	require.True(t, e.Cancel(30, 1))
+	b, left := e.Books()
+	require.InDelta(t, 85, b.Dropped, 1e-9)
+	require.InDelta(t, 185, left, 1e-9)
+	require.Len(t, e.Die(40), 2)
+	b, left = e.Books()
+	require.InDelta(t, 300, b.In, 1e-9)
+	require.InDelta(t, 40, b.Done, 1e-9)
+	require.InDelta(t, 260, b.Dropped, 1e-9)
+	require.Zero(t, left)
+}
+
+func TestTheLineGoesByPriorityThenInTurn(t *testing.T) {
+	e := New(plain(1, 100), 0, -1)
+	var order []uint64
+	for i, p := range []int{1, 0, 1, 3, 1, 3} {
+		e.Start(0, &Job{ID: uint64(i + 1), Work: 10, Threads: 1, GrantMB: 100, Priority: p, Expires: math.Inf(1)})
+	}
+	for len(order) < 6 {
+		for _, end := range e.Advance(e.Next()) {
+			order = append(order, end.Job.ID)
+		}
+	}
+	require.Equal(t, []uint64{1, 4, 6, 3, 5, 2}, order)
+}
--- a/internal/emulator/world/rules_test.go
+++ b/internal/emulator/world/rules_test.go
@@ -162,3 +162,20 @@
 		}
 	})
 }
+
+// What a dead coordinator had out must not be answered in the name of the one started in its place.
+func TestACoordinatorStartedAgainKnowsNothingOfBefore(t *testing.T) {
+	s, err := scenarios.Load("calm-weekday")
+	require.NoError(t, err)
+	s.DurationMS = 5000
+	s.Troubles = []scenario.Trouble{{Kind: scenario.CoordinatorCrash, AtMS: scenario.Range{Lo: 2000, Hi: 2000},
+		ForMS: scenario.Range{Lo: 100, Hi: 100}, Coordinators: []int{0, 1, 2}}}
+	r, err := world.Run(s, world.Options{Seed: 1, Policy: "random"})
+	require.NoError(t, err)
+	require.Empty(t, r.Rules)
+	lost := 0
+	for _, c := range r.Classes {
+		lost += c.Lost
+	}
+	require.Positive(t, lost)
+}
