Add the spool: an append-only store of results with seals, recovery and compaction

Need: results are to be kept away from engines so that a slow reader holds none. Change: internal/spool keeps pages as checked records in segments, in memory or in a directory; a result is durable once sealed, cleared on restart before; space comes back by dropping and moving segments. Not wired to the fronts yet.

--- /dev/null
+++ b/internal/spool/record.go
@@ -0,0 +1,164 @@
+package spool
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A segment is records one after another. A record is a head of fixed length, with a
+// checksum of its own, so that a spoilt page can be passed over, and a payload:
+//
+//	magic 4, kind 1, none 3, result 16, page 4, length 4, xxhash of payload 8, xxhash of head 8
+const (
+	magic     = 0x314c5053 // "SPL1"
+	headSize  = 48
+	maxRecord = 64 << 20
+)
+
+// kind of a record.
+type kind byte
+
+const (
+	kindPage kind = 1
+	kindSeal kind = 2 // payload: sealed; page: how many pages there are
+	kindDrop kind = 3 // the result is gone, whatever stands before
+)
+
+// ID names a result for good; it is never used twice.
+type ID [16]byte
+
+// IDOf is the id of a result by any name.
+func IDOf(name string) ID {
+	var id ID
+	binary.BigEndian.PutUint64(id[:], xxhash.Sum64String(name))
+	binary.BigEndian.PutUint64(id[8:], xxhash.Sum64String("\x00"+name))
+	return id
+}
+
+// sealed is what a seal tells of a result.
+type sealed struct {
+	Name  string  `json:"name"`
+	Owner string  `json:"owner"`
+	Class string  `json:"class"`
+	Bytes int64   `json:"bytes"`
+	At    float64 `json:"at_ms"`
+}
+
+type head struct {
+	kind   kind
+	id     ID
+	page   uint32
+	length uint32
+	sum    uint64
+}
+
+// appendRecord writes a record. The checksum is given: a page that was spoilt and moves on
+// must stay known as spoilt.
+func appendRecord(b []byte, k kind, id ID, page uint32, sum uint64, payload []byte) []byte {
+	at := len(b)
+	b = binary.LittleEndian.AppendUint32(b, magic)
+	b = append(b, byte(k), 0, 0, 0)
+	b = append(b, id[:]...)
+	b = binary.LittleEndian.AppendUint32(b, page)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint64(b, sum)
+	b = binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b[at:at+headSize-8]))
+	return append(b, payload...)
+}
+
+// Errors of reading segments.
+var (
+	errTorn  = errors.New("the record is cut off")
+	errHead  = errors.New("the record's head is spoilt")
+	errSpoil = errors.New("the page's bytes are spoilt")
+)
+
+func parseHead(b []byte) (h head, err error) {
+	if len(b) < headSize {
+		return h, errTorn
+	}
+	if binary.LittleEndian.Uint32(b) != magic || binary.LittleEndian.Uint64(b[40:]) != xxhash.Sum64(b[:40]) {
+		return h, errHead
+	}
+	h = head{kind: kind(b[4]), page: binary.LittleEndian.Uint32(b[24:]), length: binary.LittleEndian.Uint32(b[28:]),
+		sum: binary.LittleEndian.Uint64(b[32:])}
+	copy(h.id[:], b[8:])
+	if h.kind < kindPage || h.kind > kindDrop || h.length > maxRecord {
+		return h, errHead
+	}
+	return h, nil
+}
+
+// place is where a record stands.
+type place struct {
+	segment uint64
+	at      int64 // of its head
+	length  uint32
+	sum     uint64
+}
+
+func (p place) size() int64 { return headSize + int64(p.length) }
+
+// Damage is something wrong in a segment.
+type Damage struct {
+	Segment uint64 `json:"segment"`
+	Offset  int64  `json:"offset"`
+	Result  string `json:"result,omitempty"`
+	Page    int    `json:"page"`
+	Problem string `json:"problem"`
+}
+
+func (d Damage) String() string {
+	return fmt.Sprintf("segment %016x, offset %d, page %d: %s", d.Segment, d.Offset, d.Page, d.Problem)
+}
+
+// scan walks a segment's records; payloads are read and checked only where deep. It returns
+// where the last whole record ends; what lies behind it was cut off, or can't be read.
+func scan(n uint64, s io.ReaderAt, size int64, deep bool, each func(h head, at place, payload []byte)) (end int64, damage []Damage) {
+	var b [headSize]byte
+	for end < size {
+		got, err := s.ReadAt(b[:min(headSize, size-end)], end)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return end, append(damage, Damage{n, end, "", 0, err.Error()})
+		}
+		h, err := parseHead(b[:got])
+		if err == nil && end+headSize+int64(h.length) > size {
+			err = errTorn
+		}
+		if errors.Is(err, errTorn) {
+			return end, damage
+		}
+		if err != nil {
+			return end, append(damage, Damage{n, end, "", 0, err.Error()})
+		}
+		at := place{n, end, h.length, h.sum}
+		var payload []byte
+		if deep || h.kind == kindSeal {
+			payload = make([]byte, h.length)
+			if _, err := s.ReadAt(payload, end+headSize); err != nil {
+				return end, append(damage, Damage{n, end, "", int(h.page), err.Error()})
+			}
+			if xxhash.Sum64(payload) != h.sum {
+				damage = append(damage, Damage{n, end, fmt.Sprintf("%x", h.id), int(h.page), errSpoil.Error()})
+				payload = nil
+			}
+		}
+		if h.kind != kindSeal || payload != nil {
+			each(h, at, payload)
+		}
+		end += at.size()
+	}
+	return end, damage
+}
+
+func parseSeal(payload []byte) (s sealed, err error) {
+	if err = json.Unmarshal(payload, &s); err != nil {
+		return s, fmt.Errorf("seal: %w", err)
+	}
+	return s, nil
+}
