Add aniseloftctl spool: ls, show, verify and gc on a directory of results

Need: operators must see what a spool holds, find what is spoilt and give space back. Change: a spool's folder is locked by its process and can be looked at meanwhile; verify names result, segment, offset and page of a flipped byte.

--- /dev/null
+++ b/internal/ctl/spool_test.go
@@ -0,0 +1,79 @@
+package ctl
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/spool"
+	"aniseloft/internal/spool/ledger"
+)
+
+func TestSpoolCommands(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "spool")
+	d, err := spool.OpenDirectory(dir)
+	require.NoError(t, err)
+	old := float64(time.Now().Add(-48 * time.Hour).UnixMilli())
+	now := old
+	st, _, err := spool.Open(d, spool.Options{SegmentBytes: 4096, Now: func() float64 { return now },
+		Limits: ledger.Limits{Total: 1 << 30, KeepMS: 1e12, LongestMS: 1e12}})
+	require.NoError(t, err)
+	for i := range 6 {
+		if i == 3 {
+			now = float64(time.Now().UnixMilli())
+		}
+		w, err := st.Begin(fmt.Sprint("result", i), "planner", "ridership-report", 0)
+		require.NoError(t, err)
+		for p := range 3 {
+			require.NoError(t, w.Page(bytes.Repeat([]byte{byte('a' + i), byte('0' + p)}, 500)))
+		}
+		if i != 5 {
+			require.NoError(t, w.Seal())
+		}
+	}
+	code, out, _ := call("spool", "ls", dir)
+	require.Equal(t, ExitOK, code)
+	require.Regexp(t, `result4 +planner +ridership-report +sealed +3 +3000`, out)
+	require.Contains(t, out, "open")
+	code, out, _ = call("spool", "show", dir, "result2", "--page", "1")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, string(bytes.Repeat([]byte("c1"), 500)), out)
+	code, _, log := call("spool", "show", dir, "result2", "--page", "3")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, log, "there are 3")
+	code, _, log = call("spool", "gc", dir)
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, log, "in use", "a running coordinator's spool is left alone")
+	require.NoError(t, st.Close())
+	require.NoError(t, d.Close())
+
+	code, out, log = call("spool", "gc", dir, "--keep", "24h")
+	require.Equal(t, ExitOK, code, log)
+	require.Contains(t, out, "3 results dropped, 1 cleared, 2 kept")
+	code, out, log = call("spool", "verify", dir)
+	require.Equal(t, ExitOK, code, log)
+	require.Contains(t, out, "good")
+	segs, err := filepath.Glob(filepath.Join(dir, "*.seg"))
+	require.NoError(t, err)
+	flipped := 0
+	for _, f := range segs {
+		b, err := os.ReadFile(f)
+		require.NoError(t, err)
+		if at := bytes.Index(b, []byte("d2d2d2")); at > 0 {
+			b[at] ^= 4
+			flipped++
+			require.NoError(t, os.WriteFile(f, b, 0o600))
+		}
+	}
+	require.Equal(t, 1, flipped)
+	code, _, log = call("spool", "verify", dir)
+	require.Equal(t, ExitFailed, code)
+	require.Regexp(t, `result result3: segment [0-9a-f]{16}, offset \d+, page 2: the page's bytes are spoilt`, log)
+	code, _, log = call("spool", "verify", filepath.Join(dir, "none"))
+	require.Equal(t, ExitUsage, code, log)
+}
--- a/internal/spool/media.go
+++ b/internal/spool/media.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 )
 
 // Medium keeps segments: files in a directory, or memory.
@@ -41,15 +42,49 @@
 	private = 0o600
 )
 
-// Directory is a medium of files in one folder, which no other program may use.
-type Directory struct{ path string }
+// Directory is a medium of files in one folder, which only one process may write to.
+type Directory struct {
+	path string
+	lock *os.File
+}
+
+// ErrInUse says that another process has the spool.
+var ErrInUse = errors.New("spool: in use by another process")
 
-// OpenDirectory makes the folder if it is missing.
+// OpenDirectory makes the folder if it is missing and takes its lock, which Close or the
+// end of the process gives back.
 func OpenDirectory(path string) (*Directory, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, fmt.Errorf("spool: %w", err)
 	}
-	return &Directory{path}, nil
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, private)
+	if err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, fmt.Errorf("%w: %s", ErrInUse, path)
+	}
+	return &Directory{path, lock}, nil
+}
+
+// ReadDirectory opens a spool's folder to look at: what is there is only ever appended to,
+// so it may be in use meanwhile.
+func ReadDirectory(path string) (*Directory, error) {
+	if st, err := os.Stat(path); err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	} else if !st.IsDir() {
+		return nil, fmt.Errorf("spool: %s is not a folder", path)
+	}
+	return &Directory{path: path}, nil
+}
+
+// Close gives the lock back.
+func (d *Directory) Close() error {
+	if d.lock == nil {
+		return nil
+	}
+	return d.lock.Close()
 }
 
 func (d *Directory) name(n uint64) string {
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -95,21 +95,12 @@
 	return st, found, nil
 }
 
-// found is a result as its records tell of it.
-type found struct {
-	pages map[uint32]place
-	seal  *place
-	count uint32
-	sealed
-}
-
 func (st *Store) recover() (f Found, err error) {
 	numbers, err := st.medium.List()
 	if err != nil {
 		return f, err
 	}
-	all := map[ID]*found{}
-	var order []ID
+	all := newContents()
 	for _, n := range numbers {
 		s, err := st.medium.Open(n)
 		if err != nil {
@@ -123,49 +114,24 @@
 		st.segments[n], st.next = seg, n+1
 		end, damage := scan(n, s, size, false, func(h head, at place, payload []byte) {
 			seg.records[h.id]++
-			r := all[h.id]
-			if r == nil {
-				r = &found{pages: map[uint32]place{}}
-				all[h.id] = r
-				order = append(order, h.id)
-			}
-			switch h.kind {
-			case kindPage:
-				r.pages[h.page] = at
-			case kindSeal:
-				if one, err := parseSeal(payload); err == nil {
-					r.seal, r.count, r.sealed = &at, h.page, one
-				}
-			case kindDrop:
-				st.dropped[h.id] = at
-			}
+			all.take(h, at, payload)
 		})
 		seg.size = end
 		f.Damage = append(f.Damage, damage...)
 	}
-	for _, id := range order {
-		r := all[id]
+	st.dropped = all.dropped
+	for _, id := range all.order {
+		r := all.results[id]
 		if at, gone := st.dropped[id]; gone {
 			st.segments[at.segment].live += at.size()
 			continue
 		}
-		if r.seal == nil {
-			f.Cleared++
-			continue
-		}
-		one := &result{name: r.Name, id: id, owner: r.Owner, class: r.Class, seal: r.seal, bytes: r.Bytes}
-		for i := range r.count {
-			p, ok := r.pages[i]
-			if !ok {
-				one = nil
-				break
-			}
-			one.pages = append(one.pages, p)
-		}
-		if one == nil {
+		pages, whole := r.whole()
+		if !whole {
 			f.Cleared++
 			continue
 		}
+		one := &result{name: r.Name, id: id, owner: r.Owner, class: r.Class, seal: r.seal, bytes: r.Bytes, pages: pages}
 		st.results[id] = one
 		st.ledger.Restore(r.Name, r.Owner, r.Class, r.Bytes, r.At)
 		f.Sealed++
--- a/internal/spool/store_test.go
+++ b/internal/spool/store_test.go
@@ -23,6 +23,7 @@
 	once    bool
 	dead    bool
 	partial int // bytes that a failing write still leaves, in hundredths
+	onRead  func()
 }
 
 type platter struct {
@@ -79,6 +80,10 @@
 }
 
 func (p *platter) ReadAt(b []byte, at int64) (int, error) {
+	if f := p.d.onRead; f != nil {
+		p.d.onRead = nil
+		f()
+	}
 	n := copy(b, p.data[min(at, int64(len(p.data))):])
 	if n < len(b) {
 		return n, io.EOF
@@ -262,6 +267,70 @@
 	}
 }
 
+func put(t *testing.T, st *Store, name string, pages int) {
+	w, err := st.Begin(name, "x", "report", 0)
+	require.NoError(t, err)
+	for i := range pages {
+		require.NoError(t, w.Page(pageOf(name, i)))
+	}
+	require.NoError(t, w.Seal())
+}
+
+// A DELETE that comes while a page is read must not take the segment from under it.
+func TestASegmentThatIsReadStays(t *testing.T) {
+	now := 0.0
+	d := &disk{segs: map[uint64]*platter{}}
+	st, _, err := Open(d, options(&now))
+	require.NoError(t, err)
+	put(t, st, "a", 12)
+	put(t, st, "b", 12)
+	first := st.results[IDOf("a")].pages[0].segment
+	d.onRead = func() {
+		require.NoError(t, st.Drop("a"))
+		require.Contains(t, d.segs, first)
+	}
+	b, _, err := st.Read("a", 0)
+	require.NoError(t, err)
+	require.Equal(t, pageOf("a", 0), b)
+	require.NoError(t, st.Drop("b"))
+	require.NotContains(t, d.segs, first, "it goes once nobody reads")
+}
+
+func TestAPageThatCannotBeWrittenHoldsNothing(t *testing.T) {
+	now := 0.0
+	d := &disk{segs: map[uint64]*platter{}, once: true}
+	st, _, err := Open(d, options(&now))
+	require.NoError(t, err)
+	w, err := st.Begin("a", "x", "report", 0)
+	require.NoError(t, err)
+	require.NoError(t, w.Page(make([]byte, 100)))
+	d.failAt = d.step + 1
+	require.ErrorIs(t, w.Page(make([]byte, 100)), ErrFailed)
+	require.EqualValues(t, 100, st.Usage().Held)
+	require.NoError(t, w.Page(make([]byte, 100)), "the disk has room again")
+	require.NoError(t, w.Abort())
+	require.Zero(t, st.Usage().Held)
+}
+
+// A head whose page number was flipped must not put a page in another's place.
+func TestASpoiltHeadIsNoRecord(t *testing.T) {
+	now := 0.0
+	d := &disk{segs: map[uint64]*platter{}}
+	st, _, err := Open(d, options(&now))
+	require.NoError(t, err)
+	put(t, st, "a", 3)
+	at := st.results[IDOf("a")].pages[1]
+	d.segs[at.segment].data[at.at+24] ^= 2
+	in, err := Inspect(d, true)
+	require.NoError(t, err)
+	require.Len(t, in.Damage, 1)
+	require.Equal(t, at.at, in.Damage[0].Offset)
+	_, found, err := Open(d.restart(rand.New(rand.NewPCG(1, 1))), options(&now))
+	require.NoError(t, err)
+	require.Zero(t, found.Sealed)
+	require.Len(t, found.Damage, 1)
+}
+
 func TestReadsAndPromises(t *testing.T) {
 	now := 0.0
 	o := options(&now)
