Serve REST results from the spool, with room reserved before anything is sent

Need: pages lay as one JSON text in the record, read and parsed whole for each page, and a result that finds no room must be refused before it is sent.

--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -455,12 +455,17 @@
 
 // runOn starts it with the REST front on and its record in store, unless that is empty.
 func runOn(t *testing.T, dir string, j *journal, store string) *node {
+	return runSpooled(t, dir, j, store, 600, `{}`)
+}
+
+// runSpooled starts it with a spool too, unless its settings are empty.
+func runSpooled(t *testing.T, dir string, j *journal, store string, keep int, spool string) *node {
 	p := &node{t: t, dir: dir, listen: freeAddr(t), log: &bytes.Buffer{}}
 	p.configure(j)
 	if store != "" {
 		p.rest = freeAddr(t)
 		require.NoError(t, os.MkdirAll(filepath.Join(dir, "deploy"), 0o700))
-		text := fmt.Sprintf(`{"listen":%q,"store":%q,"keep_seconds":600,"engine_kinds":["rest-16"]}`, p.rest, store)
+		text := fmt.Sprintf(`{"listen":%q,"store":%q,"keep_seconds":%d,"engine_kinds":["rest-16"],"spool":%s}`, p.rest, store, keep, spool)
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "deploy", "rest.json"), []byte(text), 0o600))
 	}
 	p.Cmd = exec.Command(binary)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -17,6 +17,7 @@
 
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/routing"
+	"aniseloft/internal/spool"
 	"aniseloft/internal/store"
 	"aniseloft/internal/transport"
 )
@@ -73,6 +74,7 @@
 	rest      *transport.RestClients
 	restFront *transport.Listener
 	store     *store.Store
+	spool     *spool.Store // nil where it is off
 }
 
 // Run is the whole life of the program; it returns the exit code.
@@ -200,7 +202,10 @@
 	if p.store, err = store.Open(sctx, c.Store); err != nil {
 		return err
 	}
-	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Keep: time.Duration(c.KeepSeconds) * time.Second,
+	if p.spool, err = p.openSpool(c); err != nil {
+		return err
+	}
+	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Spool: p.spool, Keep: time.Duration(c.KeepSeconds) * time.Second,
 		Pass: func() bool { return p.Phase() == Serving }, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
@@ -240,6 +245,11 @@
 			p.log.Warn("record not closed", "err", err)
 		}
 	}
+	if p.spool != nil {
+		if err := p.spool.Close(); err != nil {
+			p.log.Warn("spool not closed", "err", err)
+		}
+	}
 }
 
 // reload reads the configuration again and moves to the journal service that it
--- a/internal/protocol/rest/rest.go
+++ b/internal/protocol/rest/rest.go
@@ -4,6 +4,7 @@
 package rest
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -181,6 +182,7 @@
 	ErrRefused  = QueryError{"refused: trying again is harmless", 0x20002, "QUERY_QUEUE_FULL", "INSUFFICIENT_RESOURCES"}
 	ErrFailed   = QueryError{"failed: it may have run", 0x10000, "GENERIC_INTERNAL_ERROR", "INTERNAL_ERROR"}
 	ErrCanceled = QueryError{"canceled by the client", 0x0003, "USER_CANCELED", "USER_ERROR"}
+	ErrOver     = QueryError{"the result is no longer kept", 0x0002, "ABANDONED_QUERY", "USER_ERROR"}
 )
 
 // URI is where page token of a query is asked for.
@@ -225,23 +227,38 @@
 	return r
 }
 
-// Pages cuts rows of text, as engines give them, into pages of at most size
-// bytes of it, each with one row at least; no rows are one empty page.
-func Pages(body []byte, size int) [][][]string {
-	pages := [][][]string{nil}
-	held := 0
-	text := strings.TrimSuffix(string(body), "\n")
-	if len(body) == 0 {
-		return pages
-	}
-	for _, line := range strings.Split(text, "\n") {
-		last := len(pages) - 1
-		if held > 0 && held+len(line) > size {
-			pages, held = append(pages, nil), 0
-			last++
+// Split cuts rows of text, as engines give them, into pages of at most size bytes of it,
+// each with one row at least; no rows are one empty page.
+func Split(body []byte, size int) [][]byte {
+	var pages [][]byte
+	for from, at := 0, 0; ; {
+		end := bytes.IndexByte(body[at:], '\n') + 1
+		if end == 0 {
+			end = len(body) - at
+		}
+		if at > from && at+end-from > size {
+			pages, from = append(pages, body[from:at:at]), at
 		}
-		pages[last] = append(pages[last], strings.Split(line, "\t"))
-		held += len(line) + 1
+		if at += end; at == len(body) {
+			return append(pages, body[from:])
+		}
+	}
+}
+
+// Rows are the rows of one page of text.
+func Rows(page []byte) [][]string {
+	var rows [][]string
+	for line := range strings.Lines(string(page)) {
+		rows = append(rows, strings.Split(strings.TrimSuffix(line, "\n"), "\t"))
+	}
+	return rows
+}
+
+// Pages are Split's pages as rows.
+func Pages(body []byte, size int) [][][]string {
+	var pages [][][]string
+	for _, p := range Split(body, size) {
+		pages = append(pages, Rows(p))
 	}
 	return pages
 }
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -14,8 +14,10 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"aniseloft/decide"
+	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/routing"
+	"aniseloft/internal/spool"
 	"aniseloft/internal/store"
 )
 
@@ -36,6 +38,7 @@
 type RestClients struct {
 	Core  *routing.Core
 	Store *store.Store
+	Spool *spool.Store // of results; nil: the record holds their pages
 	Pass  func() bool
 	In    *Budget       // what unfinished requests of all clients hold
 	Keep  time.Duration // how long an ended query can be read and its key is held
@@ -49,6 +52,8 @@
 type restQuery struct {
 	front     *RestClients
 	id        string
+	safe      bool          // its class may be repeated
+	spool     *spool.Writer // nil: the record holds its pages
 	mu        sync.Mutex
 	ticket    *routing.Ticket // nil until the core has it
 	cancelled bool
@@ -98,6 +103,11 @@
 			if _, err := f.Store.Purge(ctx, time.Now()); err != nil && ctx.Err() == nil {
 				f.Log.Warn("purge", "err", err)
 			}
+			if f.Spool != nil {
+				if _, err := f.Spool.Expire(); err != nil {
+					f.Log.Warn("spool not purged", "err", err)
+				}
+			}
 			select {
 			case <-ctx.Done():
 				t.Stop()
@@ -203,7 +213,7 @@
 	digest := sha256.Sum256(append([]byte(m.Class+"\x00"), m.Body...))
 	row := store.Query{ID: token(), Slug: token(), Key: m.Key, Digest: hex.EncodeToString(digest[:]), Class: m.Class,
 		Owner: m.User, Expiry: deadline.Add(f.Keep)}
-	q := &restQuery{front: f, id: row.ID, ended: make(chan struct{})}
+	q := &restQuery{front: f, id: row.ID, safe: class.Repeat == decide.RepeatSafe, ended: make(chan struct{})}
 	f.mu.Lock()
 	f.live[q.id] = q // before the row, so that who finds the row finds this
 	f.mu.Unlock()
@@ -222,6 +232,14 @@
 		}
 		return f.await(ctx, held, m.Host, 0, true)
 	}
+	if f.Spool != nil {
+		// Room for the result is reserved before anything is sent: later there might be none.
+		if q.spool, err = f.Spool.Begin(row.ID, row.Owner, row.Class, engine.MaxResult); err != nil {
+			f.Log.Warn("query refused: not spooled", "err", err)
+			q.end(store.Refused, nil, f.comeBack(err))
+			return refusal(row.ID, f.comeBack(err))
+		}
+	}
 	q.submit(routing.Query{Call: row.ID, Class: n, Statement: m.Body, Deadline: deadline,
 		Work: m.WorkMS, MemoryMB: m.MemoryMB})
 	row.State = store.Running
@@ -239,6 +257,16 @@
 	return time.Duration(f.Core.Settings().MaxComeBack * float64(time.Millisecond))
 }
 
+// comeBack is what a client is told where a result finds no room: when some is given back,
+// as far as clients heed it.
+func (f *RestClients) comeBack(err error) time.Duration {
+	var room spool.RoomError
+	if errors.As(err, &room) && room.ComeBackMS > 0 {
+		return min(time.Duration(room.ComeBackMS*float64(time.Millisecond)), f.back())
+	}
+	return f.back()
+}
+
 func refusal(id string, back time.Duration) []byte {
 	e := rest.ErrRefused
 	return rest.Results(429, rest.QueryResults{ID: id, Stats: rest.Stats{State: "FAILED"}, Error: &e}, max(back, time.Second))
@@ -265,17 +293,37 @@
 	var pages []byte
 	if a.Kind == routing.Served {
 		var err error
-		if pages, err = pagesJSON.Marshal(rest.Pages(a.Body, pageSize)); err != nil {
-			state = store.Failed
+		if pages, err = q.keep(a.Body); err != nil {
+			q.front.Log.Warn("result not kept", "query", q.id, "err", err)
+			// It ran: where that is harmless the client may try again, else it is told no more than that.
+			if state = store.Failed; q.safe {
+				state, a.ComeBack = store.Refused, q.front.comeBack(err)
+			}
 		}
 	}
 	q.end(state, pages, a.ComeBack)
 }
 
+// keep puts a result where its client will read it: into the spool, or as pages into the record.
+func (q *restQuery) keep(body []byte) (pages []byte, err error) {
+	if q.spool == nil {
+		return pagesJSON.Marshal(rest.Pages(body, pageSize))
+	}
+	for _, p := range rest.Split(body, pageSize) {
+		if err := q.spool.Page(p); err != nil {
+			return nil, err
+		}
+	}
+	return nil, q.spool.Seal()
+}
+
 // end writes the end. Where it can't be written no good end is told: a query that
 // is safe to repeat reads as refused, a load as failed, as it would after a restart.
 func (q *restQuery) end(state store.State, pages []byte, back time.Duration) {
 	q.once.Do(func() {
+		if q.spool != nil && state != store.Served {
+			_ = q.spool.Abort() // its room is free at once
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), storeLimit)
 		defer cancel()
 		if err := q.front.Store.Finish(ctx, q.id, state, pages, back, time.Now().Add(q.front.Keep)); err != nil {
@@ -336,6 +384,9 @@
 		out.Error = &e
 		return rest.Results(200, out, 0)
 	}
+	if len(row.Pages) == 0 && f.Spool != nil {
+		return f.spooled(out, row, host, token)
+	}
 	var pages [][][]string
 	if err := pagesJSON.Unmarshal(row.Pages, &pages); err != nil {
 		return rest.Plain(500, "the record can't be read")
@@ -350,6 +401,31 @@
 	return rest.Results(200, out, 0)
 }
 
+// spooled words a page of the spool. Once a result is no longer kept, every page of it
+// answers with the same error.
+func (f *RestClients) spooled(out rest.QueryResults, row *store.Query, host string, token int) []byte {
+	b, last, err := f.Spool.Read(row.ID, token)
+	switch {
+	case errors.Is(err, spool.ErrNoPage):
+		return rest.Plain(404, "no such page")
+	case errors.Is(err, spool.ErrUnknown), errors.Is(err, spool.ErrOver):
+		e := rest.ErrOver
+		out.Error = &e
+		return rest.Results(200, out, 0)
+	case err != nil:
+		f.Log.Error("page not readable", "query", row.ID, "page", token, "err", err)
+		e := rest.ErrFailed
+		out.Error = &e
+		return rest.Results(200, out, 0)
+	}
+	out.Data = rest.Rows(b)
+	out.Columns, out.Stats.State = rest.Columns([][][]string{out.Data}), "FINISHED"
+	if !last {
+		out.NextURI, out.Stats.State = rest.URI(host, row.ID, row.Slug, token+1), "RUNNING"
+	}
+	return rest.Results(200, out, 0)
+}
+
 // lookup finds a query by the address that its client was given.
 func (f *RestClients) lookup(ctx context.Context, id, slug string) (*store.Query, []byte) {
 	sctx, cancel := context.WithTimeout(ctx, storeLimit)
@@ -381,6 +457,10 @@
 	}
 	if q := f.find(row.ID); q != nil && row.State == store.Running {
 		q.cancel()
+	} else if f.Spool != nil && row.State == store.Served {
+		if err := f.Spool.Drop(row.ID); err != nil && !errors.Is(err, spool.ErrUnknown) {
+			f.Log.Warn("result not dropped", "query", row.ID, "err", err)
+		}
 	}
 	return rest.NoContent()
 }
