Stream results of REST engines into the spool, however large

Need: a slow reader must hold no engine, and a large result no memory. Change: a query carries a sink; the driver of REST engines hands each page on as it comes, waits where others will give room back, and begins anew after an attempt that died; a result that cannot be kept is no fault of its engine.

--- a/cmd/aniseloft/spool_test.go
+++ b/cmd/aniseloft/spool_test.go
@@ -1,8 +1,15 @@
 package main
 
 import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,3 +81,123 @@
 		require.Empty(t, r.NextURI)
 	}
 }
+
+// big is a REST engine whose results have pages of 256 KB, made as they are asked for. It
+// holds memory for a query until its last page has gone.
+type big struct {
+	*httptest.Server
+	pages   int
+	dieAt   int32 // the page at which the first attempt's connections end; 0: none
+	died    atomic.Bool
+	holding atomic.Int32
+	started atomic.Int32
+}
+
+func newBig(t *testing.T, pages int) *big {
+	b := &big{pages: pages}
+	b.Server = httptest.NewServer(http.HandlerFunc(b.serve))
+	t.Cleanup(func() { b.CloseClientConnections(); b.Close() })
+	return b
+}
+
+func (b *big) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/info" {
+		_, _ = io.WriteString(w, `{"starting":false}`)
+		return
+	}
+	if r.Method == "DELETE" {
+		b.holding.Add(-1)
+		w.WriteHeader(204)
+		return
+	}
+	page := 0
+	if r.Method == "POST" {
+		b.started.Add(1)
+		b.holding.Add(1)
+	} else {
+		_, _ = fmt.Sscan(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], &page)
+	}
+	if b.dieAt > 0 && page == int(b.dieAt) && !b.died.Load() || page == 0 && r.Method == "GET" {
+		b.died.Store(true)
+		b.holding.Add(-1)
+		w.WriteHeader(500)
+		return
+	}
+	next := fmt.Sprintf(`"nextUri":"http://%s/v1/statement/executing/q/s/%d",`, r.Host, page+1)
+	if page+1 == b.pages {
+		next = ""
+		b.holding.Add(-1)
+	}
+	row := fmt.Sprintf(`["%d","%s","z"]`, page, strings.Repeat("x", 64<<10))
+	fmt.Fprintf(w, `{"id":"x",%s"data":[%s,%s,%s,%s],"stats":{"state":"RUNNING"}}`, next, row, row, row, row)
+}
+
+func (b *big) line(n int) string {
+	return fmt.Sprintf(`{"id":"s-%08x","addr":%q,"zone":"hall-a","kind":"rest-16","cell":0,"state":"active","weight":1,"started_ms":0}`, n, b.Listener.Addr())
+}
+
+// peak is the most memory that the program has held, in MB.
+func (p *node) peak() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	require.NoError(p.t, err)
+	var kb int
+	_, err = fmt.Sscan(string(text[bytes.Index(text, []byte("VmHWM:"))+6:]), &kb)
+	require.NoError(p.t, err)
+	return kb >> 10
+}
+
+// A result far larger than the program's memory goes through it to the disk; its engine is
+// free though the client has read nothing but the first word. ANISELOFT_BIG_MB makes it larger.
+func TestALargeResultFreesItsEngineWhileItsReaderStops(t *testing.T) {
+	t.Parallel()
+	mb := 48
+	if v := os.Getenv("ANISELOFT_BIG_MB"); v != "" {
+		_, err := fmt.Sscan(v, &mb)
+		require.NoError(t, err)
+	}
+	e, j, dir := newBig(t, mb*4), newJournal(t), t.TempDir()
+	j.add(true, e.line(1))
+	p := runSpooled(t, dir, j, filepath.Join(dir, "record.db"), 600, fmt.Sprintf(`{"directory":"spool","total_mb":%d}`, mb+16))
+	r := p.post("ridership-report", "", "select * from sales_3.trips")
+	require.Equal(t, 200, r.status)
+	eventually(t, func() bool { return e.started.Load() == 1 && e.holding.Load() == 0 })
+	page := 0
+	for ; r.NextURI != ""; r = ask(t, "GET", r.NextURI, "") {
+		if len(r.Data) > 0 {
+			require.Len(t, r.Data, 4)
+			require.Equal(t, fmt.Sprint(page), r.Data[0][0])
+			page++
+		}
+	}
+	require.Nil(t, r.Error)
+	require.Equal(t, mb*4-1, page)
+	require.Equal(t, fmt.Sprint(page), r.Data[3][0])
+	require.Less(t, p.peak(), 64)
+	t.Logf("%d MB through a program that held %d MB at most", mb, p.peak())
+}
+
+// What an engine left that died after half its pages is not mixed with what the next one gives.
+func TestAnEngineThatDiesAfterHalfItsPages(t *testing.T) {
+	t.Parallel()
+	e, j, dir := newBig(t, 8), newJournal(t), t.TempDir()
+	e.dieAt = 4
+	other := newBig(t, 6)
+	j.add(true, e.line(1), other.line(2))
+	p := runSpooled(t, dir, j, filepath.Join(dir, "record.db"), 600, `{"directory":"spool","total_mb":32}`)
+	for i := range 6 { // some begin at each; one begins at the engine that dies and ends at either
+		r := p.post("ridership-report", "", fmt.Sprintf("select * from sales_%d.trips", i))
+		var numbers []string
+		for {
+			if len(r.Data) > 0 {
+				numbers = append(numbers, r.Data[0][0])
+			}
+			if r.NextURI == "" {
+				break
+			}
+			r = ask(t, "GET", r.NextURI, "")
+		}
+		require.Nil(t, r.Error)
+		require.Contains(t, []string{"0 1 2 3 4 5", "0 1 2 3 4 5 6 7"}, strings.Join(numbers, " "))
+	}
+	require.True(t, e.died.Load())
+}
--- a/internal/protocol/rest/client.go
+++ b/internal/protocol/rest/client.go
@@ -30,6 +30,8 @@
 	Call, Class, User string
 	Statement         []byte
 	Timeout           time.Duration
+	// Stream hands each page on as it comes; no result is then too large, and none is held.
+	Stream bool
 }
 
 // Outcome is the end of a query with its rows as text.
@@ -49,6 +51,7 @@
 	next  string // the path asked for last; empty until the first answer
 	steps int
 	body  []byte
+	page  []byte // of a stream: rows that the next step hands on
 	work  float64
 	mem   float64
 }
@@ -93,6 +96,7 @@
 type Step struct {
 	Out    []byte
 	Result *Outcome
+	Page   []byte // of a stream: rows, also with the result; to be kept before what else the step says
 	Keep   bool
 	Fresh  bool
 }
@@ -111,15 +115,16 @@
 	case err != nil:
 		return Step{}, err
 	case res != nil:
-		return Step{Result: res, Keep: clean}, nil
+		return Step{Result: res, Page: q.page, Keep: clean}, nil
 	case !clean: // as at the platform's engines: what is behind would be taken for the next answer
-		return Step{Fresh: true}, nil
+		return Step{Fresh: true, Page: q.page}, nil
 	}
-	return Step{Out: q.ask()}, nil
+	return Step{Out: q.ask(), Page: q.page}, nil
 }
 
 // answer takes a whole answer; the outcome is nil while there is more to ask for.
 func (q *Query) answer(m *httpmsg.Message) (*Outcome, error) {
+	q.page = nil
 	end := func(e End, why string) (*Outcome, error) {
 		return &Outcome{e, q.body, q.work, q.mem, why}, nil
 	}
@@ -164,7 +169,7 @@
 		}
 		page = append(page, '\n')
 	}
-	if len(q.body)+len(page) > engine.MaxResult {
+	if !q.start.Stream && len(q.body)+len(page) > engine.MaxResult {
 		return end(Errored, "result too large")
 	}
 	next := ""
@@ -175,7 +180,11 @@
 		}
 	}
 	q.work, q.mem = max(q.work, r.Stats.CPU), max(q.mem, r.Stats.Memory/(1<<20))
-	q.body, q.next = append(q.body, page...), next
+	if q.next = next; q.start.Stream {
+		q.page = page
+	} else {
+		q.body = append(q.body, page...)
+	}
 	if next == "" {
 		return end(Served, "")
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -337,7 +337,7 @@
 		return
 	}
 	try := Attempt{Call: r.query.Call, Class: c.set.Classes[r.query.Class].Name, Statement: r.query.Statement,
-		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Ready: e.ready.Load}
+		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Sink: r.query.Sink, Ready: e.ready.Load}
 	way := e.way
 	c.running.Add(1)
 	go func() {
@@ -355,7 +355,7 @@
 	r.running--
 	c.Counts.ended(r.query.Class, res.Outcome)
 	if res.Outcome == decide.OutcomeServed {
-		c.answer(r, Answer{Kind: Served, Body: res.Body})
+		c.answer(r, Answer{Kind: Served, Body: res.Body, Streamed: res.Streamed})
 	} else if res.Why != "" {
 		c.log.Debug("attempt ended", "call", r.query.Call, "outcome", int(res.Outcome), "why", res.Why)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -18,6 +18,15 @@
 	Deadline  time.Time
 	Work      float64 // estimated, ms on one core; 0: none
 	MemoryMB  float64 // estimated; 0: none
+	Sink      Sink    // takes the result page by page where an engine can give it so; nil: whole
+}
+
+// Sink takes a result as its engine gives it. Only one attempt writes at a time.
+type Sink interface {
+	// Restart forgets the pages of an attempt that did not end well.
+	Restart() error
+	// Page takes whole rows, in order. It may wait for room until ctx ends.
+	Page(ctx context.Context, rows []byte) error
 }
 
 // Kind is what a final answer says.
@@ -36,6 +45,7 @@
 type Answer struct {
 	Kind     Kind
 	Body     []byte
+	Streamed bool          // the result went to the query's sink
 	ComeBack time.Duration // with a refusal: how long to stay away
 	Why      string
 }
@@ -52,6 +62,7 @@
 	Timeout   time.Duration
 	GrantMB   float64
 	Priority  int // -1: none set
+	Sink      Sink
 	// Ready tells, as the first byte goes, whether the list still allows new
 	// work to the engine: between the decision and the send, a drain may come.
 	Ready func() bool
@@ -61,6 +72,7 @@
 type Result struct {
 	Outcome  decide.Outcome
 	Body     []byte
+	Streamed bool
 	Work     float64
 	MemoryMB float64
 	Load     *decide.Load
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -247,6 +247,24 @@
 	return st.ledger.Seal(now, w.r.name)
 }
 
+// Restart forgets the pages so far: another attempt writes the result from its beginning.
+// Of a page that then stands twice, the later counts.
+func (w *Writer) Restart() error {
+	st := w.st
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.results[w.r.id] != w.r || w.r.seal != nil {
+		return ErrOver
+	}
+	if w.r.broken {
+		return ErrFailed
+	}
+	st.each(w.r, func(p place) { st.segments[p.segment].live -= p.size() })
+	err := st.ledger.Shrink(w.r.name, w.r.bytes)
+	w.r.pages, w.r.bytes = nil, 0
+	return errors.Join(err, st.sweep())
+}
+
 // Abort gives a result up; its room is free at once.
 func (w *Writer) Abort() error { return w.st.Drop(w.r.name) }
 
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -44,11 +44,18 @@
 		e.lane.put(c)
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
 	}
-	q := rest.NewQuery(e.addr, rest.Start{Call: a.Call, Class: a.Class, User: e.user, Statement: a.Statement, Timeout: a.Timeout})
-	res, err := e.converseRest(ctx, c, q)
+	if a.Sink != nil {
+		if err := a.Sink.Restart(); err != nil {
+			e.lane.put(c)
+			return routing.Result{Outcome: decide.OutcomeNotSent, Why: err.Error()}
+		}
+	}
+	q := rest.NewQuery(e.addr, rest.Start{Call: a.Call, Class: a.Class, User: e.user, Statement: a.Statement, Timeout: a.Timeout,
+		Stream: a.Sink != nil})
+	res, err := e.converseRest(ctx, c, q, a.Sink)
 	if res != nil {
 		outcome := map[rest.End]decide.Outcome{rest.Served: decide.OutcomeServed, rest.Errored: decide.OutcomeError, rest.Full: decide.OutcomeFull}[res.End]
-		return routing.Result{Outcome: outcome, Body: res.Body, Work: res.Work, MemoryMB: res.MemoryMB, Why: res.Why}
+		return routing.Result{Outcome: outcome, Body: res.Body, Streamed: a.Sink != nil, Work: res.Work, MemoryMB: res.MemoryMB, Why: res.Why}
 	}
 	giveUp := func() {
 		if b := q.Cancel(); b != nil {
@@ -65,18 +72,28 @@
 		giveUp()
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
+	if errors.Is(err, errSink) { // for no fault of the engine
+		go giveUp()
+		return routing.Result{Outcome: decide.OutcomeLost, Why: err.Error()}
+	}
 	return e.lost(err, giveUp)
 }
 
+// errSink says that a page could not be kept.
+var errSink = errors.New("the result can't be kept")
+
 // converseRest is converse for this protocol, where nothing can be asked for before
 // the first answer has named an address.
-func (e *restEngine) converseRest(ctx context.Context, c *link, q *rest.Query) (*rest.Outcome, error) {
+func (e *restEngine) converseRest(ctx context.Context, c *link, q *rest.Query, sink routing.Sink) (*rest.Outcome, error) {
 	out := q.Begin()
 	for lost := 0; ; {
-		step, heard, err := e.exchangeRest(ctx, c, q, out)
+		step, heard, err := e.exchangeRest(ctx, c, q, out, sink)
 		if heard {
 			lost = 0
 		}
+		if errors.Is(err, errSink) {
+			return nil, err
+		}
 		if step.Result != nil || ctx.Err() != nil {
 			return step.Result, err
 		}
@@ -96,7 +113,7 @@
 	}
 }
 
-func (e *restEngine) exchangeRest(ctx context.Context, c *link, q *rest.Query, out []byte) (step rest.Step, heard bool, err error) {
+func (e *restEngine) exchangeRest(ctx context.Context, c *link, q *rest.Query, out []byte, sink routing.Sink) (step rest.Step, heard bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	for deadline := time.Now().Add(restSilence); step.Result == nil && !step.Fresh && err == nil; {
 		if len(out) > 0 {
@@ -111,6 +128,11 @@
 			step, err = q.Feed(b)
 			out = step.Out
 		}
+		if err == nil && len(step.Page) > 0 {
+			if serr := sink.Page(ctx, step.Page); serr != nil {
+				step.Result, err = nil, fmt.Errorf("%w: %w", errSink, serr)
+			}
+		}
 		heard = heard || err == nil && (step.Result != nil || step.Fresh || len(out) > 0)
 	}
 	if stop() && step.Keep {
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -18,6 +18,7 @@
 	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/spool"
+	"aniseloft/internal/spool/ledger"
 	"aniseloft/internal/store"
 )
 
@@ -240,8 +241,11 @@
 			return refusal(row.ID, f.comeBack(err))
 		}
 	}
-	q.submit(routing.Query{Call: row.ID, Class: n, Statement: m.Body, Deadline: deadline,
-		Work: m.WorkMS, MemoryMB: m.MemoryMB})
+	to := routing.Query{Call: row.ID, Class: n, Statement: m.Body, Deadline: deadline, Work: m.WorkMS, MemoryMB: m.MemoryMB}
+	if q.spool != nil {
+		to.Sink = q
+	}
+	q.submit(to)
 	row.State = store.Running
 	return f.await(ctx, &row, m.Host, 0, true)
 }
@@ -293,7 +297,7 @@
 	var pages []byte
 	if a.Kind == routing.Served {
 		var err error
-		if pages, err = q.keep(a.Body); err != nil {
+		if pages, err = q.keep(a.Body, a.Streamed); err != nil {
 			q.front.Log.Warn("result not kept", "query", q.id, "err", err)
 			// It ran: where that is harmless the client may try again, else it is told no more than that.
 			if state = store.Failed; q.safe {
@@ -305,18 +309,52 @@
 }
 
 // keep puts a result where its client will read it: into the spool, or as pages into the record.
-func (q *restQuery) keep(body []byte) (pages []byte, err error) {
+func (q *restQuery) keep(body []byte, streamed bool) (pages []byte, err error) {
 	if q.spool == nil {
 		return pagesJSON.Marshal(rest.Pages(body, pageSize))
 	}
-	for _, p := range rest.Split(body, pageSize) {
-		if err := q.spool.Page(p); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), storeLimit)
+	defer cancel()
+	if !streamed { // an attempt before this one may have left pages
+		if err := q.spool.Restart(); err != nil {
+			return nil, err
+		}
+		for _, p := range rest.Split(body, pageSize) {
+			if err := q.Page(ctx, p); err != nil {
+				return nil, err
+			}
+		}
+	} else if n, _, err := q.front.Spool.Pages(q.id); err == nil && n == 0 {
+		if err := q.spool.Page(nil); err != nil { // no rows are one empty page
 			return nil, err
 		}
 	}
 	return nil, q.spool.Seal()
 }
 
+// Restart forgets what an attempt that did not end well has left.
+func (q *restQuery) Restart() error { return q.spool.Restart() }
+
+// lookEach is how often a page looks for room again.
+const lookEach = 20 * time.Millisecond
+
+// Page keeps a page. Where other results will give room back it waits, and the engine is
+// not read meanwhile.
+func (q *restQuery) Page(ctx context.Context, rows []byte) error {
+	for {
+		err := q.spool.Page(rows)
+		var room spool.RoomError
+		if !errors.As(err, &room) || room.Verdict != ledger.Wait {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(lookEach):
+		}
+	}
+}
+
 // end writes the end. Where it can't be written no good end is told: a query that
 // is safe to repeat reads as refused, a load as failed, as it would after a restart.
 func (q *restQuery) end(state store.State, pages []byte, back time.Duration) {
