--- a/internal/protocol/rest/client.go
+++ b/internal/protocol/rest/client.go
@@ -160,7 +160,9 @@
 			if i > 0 {
 				page = append(page, '\t')
 			}
-			if v != nil {
+			if text, ok := v.(string); ok {
+				page = append(page, text...)
+			} else if v != nil {
 				page = fmt.Append(page, v)
 			}
 		}
