Tell the module that pages come, so that a long result is no silent engine

Seen: a result that streams for longer than four times its estimate was taken for silence, cancelled and begun again. Change: the core tells the module of pages as they come, as a sign of life, at most ten times a second; the policy file is unchanged.

--- a/cmd/aniseloft/spool_test.go
+++ b/cmd/aniseloft/spool_test.go
@@ -87,7 +87,8 @@
 type big struct {
 	*httptest.Server
 	pages   int
-	dieAt   int32 // the page at which the first attempt's connections end; 0: none
+	pace    time.Duration // of each page
+	dieAt   int32         // the page at which the first attempt's connections end; 0: none
 	died    atomic.Bool
 	holding atomic.Int32
 	started atomic.Int32
@@ -123,6 +124,7 @@
 		w.WriteHeader(500)
 		return
 	}
+	time.Sleep(b.pace)
 	next := fmt.Sprintf(`"nextUri":"http://%s/v1/statement/executing/q/s/%d",`, r.Host, page+1)
 	if page+1 == b.pages {
 		next = ""
@@ -156,10 +158,10 @@
 		require.NoError(t, err)
 	}
 	e, j, dir := newBig(t, mb*4), newJournal(t), t.TempDir()
+	e.pace = 10 * time.Millisecond // longer in all than the module waits for a silent engine
 	j.add(true, e.line(1))
 	p := runSpooled(t, dir, j, filepath.Join(dir, "record.db"), 600, fmt.Sprintf(`{"directory":"spool","total_mb":%d}`, mb+16))
-	// The estimate tells the module that it takes long: it would try elsewhere else.
-	r := p.post("ridership-report", "", "select * from sales_3.trips", "X-Aniseloft-Work-Ms", "30000")
+	r := p.post("ridership-report", "", "select * from sales_3.trips")
 	require.Equal(t, 200, r.status)
 	eventually(t, func() bool { return e.started.Load() == 1 && e.holding.Load() == 0 })
 	page := 0
--- a/decide/api.go
+++ b/decide/api.go
@@ -253,6 +253,7 @@
 	ProgressShare  ProgressKind = 1 // Value: share done
 	ProgressSpills ProgressKind = 2 // Value: MB missing
 	ProgressWaits  ProgressKind = 3 // Value: 1 for memory, 2 for a load
+	ProgressPages  ProgressKind = 4 // a part of its result has come; Value: nothing
 )
 
 func (ListChanged) event()   {}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -338,6 +338,15 @@
 	}
 	try := Attempt{Call: r.query.Call, Class: c.set.Classes[r.query.Class].Name, Statement: r.query.Statement,
 		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Sink: r.query.Sink, Ready: e.ready.Load}
+	if try.Sink != nil {
+		try.Sink = &lively{Sink: try.Sink, tell: func() {
+			c.post(func() {
+				if !t.over {
+					c.handle(decide.Progress{ID: r.id, Attempt: n, Kind: decide.ProgressPages})
+				}
+			})
+		}}
+	}
 	way := e.way
 	c.running.Add(1)
 	go func() {
@@ -347,6 +356,24 @@
 	}()
 }
 
+// lively tells the module that pages come: a large result takes long, and must not be
+// taken for an engine that is silent.
+type lively struct {
+	Sink
+	tell func()
+	told time.Time
+}
+
+const livelyEach = 100 * time.Millisecond
+
+func (l *lively) Page(ctx context.Context, rows []byte) error {
+	if now := time.Now(); now.Sub(l.told) >= livelyEach {
+		l.told = now
+		l.tell()
+	}
+	return l.Sink.Page(ctx, rows)
+}
+
 // ended books an attempt's outcome. The first that is served is the answer.
 func (c *Core) ended(r *request, n int, id decide.EngineID, res Result) {
 	t := r.attempts[n]
