Leave the memory bound of a large result out under the race detector

Under -race the program of that test held 86 MB, which is the detector's own; the bound of 64 MB (31 held) stays for the program as it is built.

--- a/cmd/aniseloft/spool_test.go
+++ b/cmd/aniseloft/spool_test.go
@@ -175,7 +175,9 @@
 	require.Nil(t, r.Error)
 	require.Equal(t, mb*4-1, page)
 	require.Equal(t, fmt.Sprint(page), r.Data[3][0])
-	require.Less(t, p.peak(), 64)
+	if len(buildFlags) == 0 { // the race detector holds several times as much
+		require.Less(t, p.peak(), 64)
+	}
 	t.Logf("%d MB through a program that held %d MB at most", mb, p.peak())
 }
 
