--- /dev/null
+++ b/cmd/aniseloft/admin_test.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// due is how soon the operators' answer is owed, whatever the load.
+const due = time.Second
+
+// tell sends one call on a connection of its own and returns the answer's line, which must
+// come in time.
+func (p *node) tell(line string) string {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.admin)
+	require.NoError(p.t, err)
+	defer c.Close()
+	at := time.Now()
+	_, err = io.WriteString(c, line+"\n")
+	require.NoError(p.t, err)
+	require.NoError(p.t, c.SetReadDeadline(time.Now().Add(patience)))
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	require.NoError(p.t, err)
+	require.Less(p.t, time.Since(at), due, "the answer to %q came late", line)
+	return strings.TrimSuffix(answer, "\n")
+}
+
+// two is a world of two engines that the program knows.
+func two(t *testing.T) (*node, *engine, *engine, *journal) {
+	a, b, j := newEngine(t, false), newEngine(t, false), newJournal(t)
+	j.add(true, server(1, a, "active"), server(2, b, "active"))
+	return run(t, t.TempDir(), j, false), a, b, j
+}
+
+// spread sends n quick look-ups and waits for each answer.
+func spread(t *testing.T, c *client, from, n int) {
+	for id := from; id < from+n; id++ {
+		require.Equal(t, "a\tb\tc\n", served(t, c.call(query(id, "trip-lookup", "x", 9000))))
+	}
+}
+
+func TestAdminAnswersEachCallAndBadInputChangesNothing(t *testing.T) {
+	t.Parallel()
+	p, a, _, _ := two(t)
+	require.Equal(t, "ACK serving", p.tell("STATUS"))
+	for line, why := range map[string]string{
+		"FLY":                                 "NAK unknown verb",
+		"SUSPEND":                             "NAK an engine id is missing",
+		"STATUS now":                          "NAK too many words",
+		"SUSPEND s-00000001 s-00000002":       "NAK too many words",
+		"SUSPEND s-0000000f":                  "NAK no engine has that id",
+		"RESTORE nobody":                      "NAK no engine has that id",
+		"":                                    "NAK empty line",
+		"SUSPEND s-\x0100000001":              "NAK not text",
+		strings.Repeat("SUSPEND ", 100):       "NAK line too long",
+		"SUSPEND s-00000001" + "\xff\xfe\x00": "NAK not text",
+	} {
+		require.True(t, strings.HasPrefix(p.tell(line), why), "%q", line)
+	}
+	// A line with no end is no call, however whole it looks.
+	c, err := net.Dial("tcp", p.admin)
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "SUSPEND s-00000001")
+	require.NoError(t, err)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, "NAK the line did not end\n", string(answer))
+	c.Close()
+
+	require.Equal(t, "ACK serving", p.tell("status"))
+	d := dial(t, p.listen)
+	spread(t, d, 1, 20)
+	require.Positive(t, a.count(&a.started, "x"), "nothing was taken out")
+}
+
+func TestASuspendedEngineGetsNothingNewUntilItsOneRestore(t *testing.T) {
+	t.Parallel()
+	p, a, b, j := two(t)
+	require.Equal(t, "ACK s-00000001 out", p.tell("SUSPEND s-00000001"))
+	require.Contains(t, p.tell("SUSPEND s-00000001"), "ACK s-00000001 out already (2 calls")
+	c := dial(t, p.listen)
+	spread(t, c, 1, 20)
+	// The list says it is active again: the ban holds all the same.
+	j.add(false, server(1, a, "active"))
+	spread(t, c, 21, 20)
+	require.Zero(t, a.count(&a.started, "x"))
+	require.Equal(t, 40, b.count(&b.started, "x"))
+
+	require.Equal(t, "ACK s-00000001 back, cold", p.tell("RESTORE s-00000001"))
+	require.Equal(t, "ACK s-00000001 was not out", p.tell("RESTORE s-00000001"))
+	// Back and cold, it gets its part again soon after: one call back answers both calls out.
+	deadline := time.Now().Add(5 * time.Second)
+	for id := 41; a.count(&a.started, "x") == 0; id++ {
+		require.True(t, time.Now().Before(deadline), "the engine let back stays unused")
+		spread(t, c, id, 1)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestSuspendingTheLastEngineRefusesBeforeTheDeadline(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, false)
+	require.Equal(t, "ACK s-00000001 out", p.tell("SUSPEND s-00000001"))
+	c := dial(t, p.listen)
+	at := time.Now()
+	answer := c.call(query(1, "trip-lookup", "x", 9000))
+	require.Contains(t, answer, `"code":-32000`, "nothing ran: trying again is harmless")
+	require.Less(t, time.Since(at), 9*time.Second, "answered before its time is over")
+	require.Zero(t, e.count(&e.started, "x"))
+}
+
+func TestPauseSendsClientsAwayAndResumeWelcomesThemBack(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, false)
+	idle, busy := dial(t, p.listen), dial(t, p.listen)
+	spread(t, idle, 1, 1)
+	busy.send(query(1, "ridership-report", "stay", 9000))
+	eventually(t, func() bool { return e.count(&e.started, "stay") == 1 })
+
+	require.Equal(t, "ACK paused", p.tell("PAUSE"))
+	require.Equal(t, "ACK paused already", p.tell("PAUSE"))
+	require.Equal(t, "NAK paused", p.tell("STATUS"))
+	// An idle connection is closed at once.
+	require.NoError(t, idle.SetReadDeadline(time.Now().Add(due)))
+	_, err := idle.r.ReadString('\n')
+	require.ErrorIs(t, err, io.EOF)
+	// A new one is told no, and its first request is still served, as it may have come before the word.
+	fresh := dial(t, p.listen)
+	require.Contains(t, fresh.call(`{"jsonrpc":"2.0","id":1,"method":"alive"}`), `"pass":false`)
+	// One with a request open stays until that is answered; what comes later on it is sent away.
+	time.Sleep(1700 * time.Millisecond)
+	refused := busy.call(query(2, "trip-lookup", "x", 9000))
+	require.Contains(t, refused, `"code":-32000`)
+	require.Contains(t, refused, `"pushback":100`)
+	close(e.release)
+	require.Contains(t, busy.line(), `"id":1,"result"`)
+	require.NoError(t, busy.SetReadDeadline(time.Now().Add(due)))
+	_, err = busy.r.ReadString('\n')
+	require.ErrorIs(t, err, io.EOF, "closed once nothing is open")
+
+	require.Equal(t, "ACK resumed", p.tell("RESUME"))
+	require.Equal(t, "ACK not paused", p.tell("RESUME"))
+	require.Equal(t, "ACK serving", p.tell("STATUS"))
+	again := dial(t, p.listen)
+	require.Contains(t, again.call(`{"jsonrpc":"2.0","id":1,"method":"alive"}`), `"pass":true`)
+	spread(t, again, 2, 3)
+	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
+	p.told("answered_served=")
+}
+
+func TestSlowCallersDoNotDelayTheAnswerOfOthers(t *testing.T) {
+	t.Parallel()
+	p, _, _ := world(t, false)
+	var slow []net.Conn
+	for range 40 { // more than there are places: the oldest make room
+		c, err := net.Dial("tcp", p.admin)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_, err = c.Write([]byte("S"))
+		require.NoError(t, err)
+		slow = append(slow, c)
+	}
+	for i := range 3 {
+		for _, c := range slow[len(slow)-8:] {
+			_, _ = c.Write([]byte("TATUS"[i : i+1]))
+		}
+		require.Equal(t, "ACK serving", p.tell("STATUS"))
+		time.Sleep(time.Second)
+	}
+	// One byte a second: it is told that its line did not end in time.
+	last := slow[len(slow)-1]
+	require.NoError(t, last.SetReadDeadline(time.Now().Add(patience)))
+	answer, err := bufio.NewReader(last).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "NAK the line did not end in time\n", answer)
+}
+
+func TestABadStateFileIsReportedAndSetAside(t *testing.T) {
+	t.Parallel()
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	dir := t.TempDir()
+	require.NoError(t, os.MkdirAll(filepath.Join(dir, "tmp"), 0o700))
+	state := filepath.Join(dir, "tmp", "aniseloft-state.json")
+	require.NoError(t, os.WriteFile(state, []byte(`{"version":1,"seq":4,"bans":[{"id":"s-0000`), 0o600))
+	p := run(t, dir, j, false)
+	p.told("state file not used; kept aside")
+	_, err := os.Stat(state)
+	require.ErrorIs(t, err, os.ErrNotExist)
+	spread(t, dial(t, p.listen), 1, 3)
+	// What is written next is whole, and read back by the next process.
+	require.Equal(t, "ACK s-00000001 out", p.tell("SUSPEND s-00000001"))
+	raw, err := os.ReadFile(state)
+	require.NoError(t, err)
+	require.Contains(t, string(raw), `"bans":[{"id":"s-00000001","calls":1`)
+}
+
+func TestBansHoldAcrossAnUpgrade(t *testing.T) {
+	t.Parallel()
+	old, a, b, j := two(t)
+	require.Equal(t, "ACK s-00000001 out", old.tell("SUSPEND s-00000001"))
+	// The new process listens at the same address beside the old one, with another
+	// second address and the same $TMPDIR.
+	fresh := &node{t: t, dir: old.dir, listen: old.listen, admin: freeAddr(t), log: &bytes.Buffer{}}
+	fresh.configure(j)
+	fresh.start(os.Environ())
+	require.Equal(t, "ACK serving", fresh.tell("STATUS"))
+	// A ban told to the old process after the new one began holds in the new one too.
+	require.Equal(t, "ACK s-00000002 out", old.tell("SUSPEND s-00000002"))
+	require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, old.Wait())
+	time.Sleep(200 * time.Millisecond)
+	c := dial(t, fresh.listen)
+	answer := c.call(query(1, "trip-lookup", "x", 1500))
+	require.Contains(t, answer, `"code":-32000`, "both engines are out by hand")
+	require.Equal(t, "ACK s-00000002 back, cold", fresh.tell("RESTORE s-00000002"))
+	spread(t, c, 2, 5)
+	require.Zero(t, a.count(&a.started, "x"))
+	require.Equal(t, 5, b.count(&b.started, "x"))
+}
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -421,6 +421,7 @@
 	dir    string
 	listen string
 	rest   string
+	admin  string // the operators' address
 	log    *bytes.Buffer
 	mu     sync.Mutex
 }
@@ -460,7 +461,7 @@
 
 // runSpooled starts it with a spool too, unless its settings are empty.
 func runSpooled(t *testing.T, dir string, j *journal, store string, keep int, spool string) *node {
-	p := &node{t: t, dir: dir, listen: freeAddr(t), log: &bytes.Buffer{}}
+	p := &node{t: t, dir: dir, listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{}}
 	p.configure(j)
 	if store != "" {
 		p.rest = freeAddr(t)
@@ -468,9 +469,19 @@
 		text := fmt.Sprintf(`{"listen":%q,"store":%q,"keep_seconds":%d,"engine_kinds":["rest-16"],"spool":%s}`, p.rest, store, keep, spool)
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "deploy", "rest.json"), []byte(text), 0o600))
 	}
+	p.start(os.Environ())
+	return p
+}
+
+// start runs the program with the configuration in its folder and $TMPDIR under it,
+// and waits until it says that it serves.
+func (p *node) start(env []string) {
+	t := p.t
+	tmp := filepath.Join(p.dir, "tmp")
+	require.NoError(t, os.MkdirAll(tmp, 0o700))
 	p.Cmd = exec.Command(binary)
-	p.Dir, p.Stdout, p.Stderr = dir, p, p
-	p.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(dir, "config.json"))
+	p.Dir, p.Stdout, p.Stderr = p.dir, p, p
+	p.Env = append(env, "LB_CONFIG="+filepath.Join(p.dir, "config.json"), "TMPDIR="+tmp)
 	require.NoError(t, p.Start())
 	t.Cleanup(func() {
 		if p.ProcessState == nil {
@@ -479,16 +490,23 @@
 		require.NotContains(t, p.logged(), "DATA RACE")
 		require.NotContains(t, p.logged(), "panicked")
 	})
-	c := dial(t, p.listen)
-	require.Contains(t, c.call(`{"jsonrpc":"2.0","id":1,"method":"alive"}`), `"pass":true`)
-	c.Close()
-	return p
+	// The clients' address may be another process's too: this one is asked at its own.
+	eventually(t, func() bool {
+		c, err := net.Dial("tcp", p.admin)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "STATUS\n")
+		answer, _ := bufio.NewReader(c).ReadString('\n')
+		return answer == "ACK serving\n"
+	})
 }
 
 // configure writes the configuration with j for its journal service.
 func (p *node) configure(j *journal) {
-	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":32,"sockets":64},"journal":%q,"known":%s,"settings":%s}`,
-		p.listen, j.Listener.Addr(), j.batch(0), settings))
+	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":32,"sockets":64},"journal":%q,"known":%s,"settings":%s}`,
+		p.listen, p.admin, j.Listener.Addr(), j.batch(0), settings))
 }
 
 func (p *node) write(conf string) {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -20,6 +20,7 @@
 type config struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
+	Admin  string `json:"admin"` // the operators' second address; empty: none
 	Seed   string `json:"seed"`
 	Limits struct {
 		Cores    float64 `json:"cores"`
@@ -51,6 +52,9 @@
 	if v := os.Getenv("LB_LISTEN"); v != "" {
 		c.Listen = v
 	}
+	if v := os.Getenv("LB_ADMIN"); v != "" {
+		c.Admin = v
+	}
 	if v := os.Getenv("LB_NAME"); v != "" {
 		c.Name = v
 	}
--- /dev/null
+++ b/internal/program/oncall.go
@@ -0,0 +1,261 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"aniseloft/decide"
+	"aniseloft/internal/oncall"
+	"aniseloft/internal/protocol/admin"
+	"aniseloft/internal/transport"
+)
+
+const (
+	// stateName is the file in $TMPDIR that holds what outlives a process; the old and
+	// the new process of an upgrade share it.
+	stateName = "aniseloft-state.json"
+	// stateLook is how often a process looks whether the other one wrote the file.
+	stateLook = 100 * time.Millisecond
+	// lockTries bounds the wait for the other process's hold on the file.
+	lockTries = 20
+	lockRest  = 5 * time.Millisecond
+	pokeAgain = 100 * time.Millisecond
+)
+
+// stateFile is the state file and this process's view of it.
+type stateFile struct {
+	path string
+	mu   sync.Mutex // one change at a time within the process
+	seen time.Time  // the file's time of change when it was last read
+	size int64
+}
+
+func newStateFile() *stateFile {
+	return &stateFile{path: filepath.Join(os.TempDir(), stateName)}
+}
+
+func millis(t time.Time) decide.Millis { return float64(t.UnixMicro()) / 1000 }
+
+// read takes what the file holds where it is later than what this process holds. A
+// missing file is no news; one that can't be used is reported and kept aside, and the
+// process goes on with what it knows.
+func (p *Program) readState(f *stateFile, reportMissing bool) {
+	info, err := os.Stat(f.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		if reportMissing {
+			p.log.Info("no state file: nobody is out by hand", "path", f.path)
+		}
+		return
+	}
+	if err != nil {
+		p.log.Warn("state file unreadable", "path", f.path, "err", err)
+		return
+	}
+	if info.ModTime().Equal(f.seen) && info.Size() == f.size {
+		return
+	}
+	raw, err := os.ReadFile(f.path)
+	if err != nil {
+		p.log.Warn("state file unreadable", "path", f.path, "err", err)
+		return
+	}
+	f.seen, f.size = info.ModTime(), info.Size()
+	s, err := oncall.Decode(raw)
+	if err != nil {
+		aside := f.path + ".bad-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
+		p.log.Error("state file not used; kept aside", "path", f.path, "aside", aside, "err", err)
+		_ = os.Rename(f.path, aside)
+		return
+	}
+	p.core.Hand(func(h *oncall.Hand) bool {
+		if !h.Adopt(s) {
+			return false
+		}
+		p.log.Info("state file taken", "path", f.path, "seq", s.Seq, "bans", len(s.Bans),
+			"age_ms", int64(millis(time.Now())-s.Written))
+		return true
+	})
+}
+
+// change carries out a change of what is out by hand, in step with the other process:
+// under the file's lock it takes what that one wrote, makes the change and writes the
+// whole state anew, all or nothing.
+func (p *Program) change(f *stateFile, do func() error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unlock := lockFile(f.path + ".lock")
+	defer unlock()
+	p.readState(f, false)
+	var was uint64
+	var out []byte
+	p.core.Hand(func(h *oncall.Hand) bool { was = h.Seq(); return false })
+	if err := do(); err != nil {
+		return err
+	}
+	p.core.Hand(func(h *oncall.Hand) bool {
+		if h.Seq() != was {
+			out = h.Encode(millis(time.Now()))
+		}
+		return false // the call has told the module already
+	})
+	if out == nil {
+		return nil
+	}
+	if err := writeAtomic(f.path, out); err != nil {
+		// The ban holds in this process all the same; only an upgrade would lose it.
+		p.log.Error("state file not written", "path", f.path, "err", err)
+	} else if info, err := os.Stat(f.path); err == nil {
+		f.seen, f.size = info.ModTime(), info.Size()
+	}
+	return nil
+}
+
+// writeAtomic writes a file whole or not at all: a process killed half way leaves the
+// old one, and a temporary file that nobody reads.
+func writeAtomic(path string, b []byte) error {
+	tmp := path + ".tmp-" + strconv.Itoa(os.Getpid())
+	if err := os.WriteFile(tmp, b, 0o600); err != nil {
+		return fmt.Errorf("write %s: %w", tmp, err)
+	}
+	if err := os.Rename(tmp, path); err != nil {
+		_ = os.Remove(tmp)
+		return fmt.Errorf("rename %s: %w", tmp, err)
+	}
+	return nil
+}
+
+// lockFile holds an advisory lock on path until the returned func; a lock that can't
+// be had soon is gone without: the answer must not wait on it.
+func lockFile(path string) (unlock func()) {
+	fd, err := syscall.Open(path, syscall.O_CREAT|syscall.O_RDWR|syscall.O_CLOEXEC, 0o600)
+	if err != nil {
+		return func() {}
+	}
+	for range lockTries {
+		if err = syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			break
+		}
+		time.Sleep(lockRest)
+	}
+	return func() {
+		if err == nil {
+			_ = syscall.Flock(fd, syscall.LOCK_UN)
+		}
+		_ = syscall.Close(fd)
+	}
+}
+
+// drain is the drain by hand, where the fronts and the operators' calls reach it.
+type drain struct {
+	mu sync.Mutex
+	d  oncall.Drain
+}
+
+func (d *drain) on() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.d.On() }
+
+func (d *drain) take(at time.Time) bool { d.mu.Lock(); defer d.mu.Unlock(); return d.d.Take(at) }
+
+// ready tells whether this process can serve and welcomes clients.
+func (p *Program) ready() bool { return p.Phase() == Serving && !p.drain.on() }
+
+// call carries out one operators' call and words its answer.
+func (p *Program) call(c admin.Call) []byte {
+	switch c.Verb {
+	case admin.Status:
+		switch {
+		case p.ready():
+			return admin.Ack("serving")
+		case p.Phase() == Serving:
+			return admin.Nak("paused")
+		}
+		return admin.Nak(p.Phase().String())
+	case admin.Suspend:
+		var calls int
+		err := p.change(p.state, func() (err error) {
+			calls, err = p.core.Suspend(c.ID)
+			return err
+		})
+		if err != nil {
+			return admin.Nak(err.Error())
+		}
+		if calls > 1 {
+			return admin.Ack(fmt.Sprintf("%s out already (%d calls; one RESTORE lets it back)", c.ID, calls))
+		}
+		return admin.Ack(c.ID + " out")
+	case admin.Restore:
+		var was bool
+		err := p.change(p.state, func() (err error) {
+			was, err = p.core.Restore(c.ID)
+			return err
+		})
+		switch {
+		case err != nil:
+			return admin.Nak(err.Error())
+		case !was:
+			return admin.Ack(c.ID + " was not out")
+		}
+		return admin.Ack(c.ID + " back, cold")
+	case admin.Pause:
+		if p.Phase() != Serving && p.Phase() != Starting {
+			return admin.Ack("ending already")
+		}
+		p.drain.mu.Lock()
+		again := p.drain.d.Pause(time.Now())
+		p.drain.mu.Unlock()
+		if again {
+			return admin.Ack("paused already")
+		}
+		p.poke()
+		return admin.Ack("paused")
+	case admin.Resume:
+		if p.Phase() != Serving && p.Phase() != Starting {
+			return admin.Nak("the process is ending: a drain that SIGTERM began is not undone")
+		}
+		p.drain.mu.Lock()
+		was := p.drain.d.Resume()
+		p.drain.mu.Unlock()
+		if !was {
+			return admin.Ack("not paused")
+		}
+		return admin.Ack("resumed")
+	}
+	return admin.Nak("unknown call")
+}
+
+// followState takes, until ctx ends, what the other process of an upgrade writes: a
+// ban it was told before this one could serve holds here too.
+func (p *Program) followState(ctx context.Context) {
+	t := time.NewTicker(stateLook)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.state.mu.Lock()
+			p.readState(p.state, false)
+			p.state.mu.Unlock()
+		}
+	}
+}
+
+// poke wakes the fronts' readers, that each connection with nothing open goes now; a
+// second look a little later finds those that were between two reads.
+func (p *Program) poke() {
+	fronts := []*transport.Listener{p.front}
+	if p.restFront != nil {
+		fronts = append(fronts, p.restFront)
+	}
+	for _, f := range fronts {
+		f.Poke()
+		time.AfterFunc(pokeAgain, f.Poke)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -69,6 +69,9 @@
 	front  *transport.Listener
 	pool   *transport.Pool
 	stop   context.CancelFunc
+	admin  *transport.Listener // nil where there is no second address
+	drain  drain
+	state  *stateFile
 
 	// The second front; nil where it is off.
 	rest      *transport.RestClients
@@ -165,12 +168,20 @@
 		Rest: restKinds(restConf), User: p.conf.Name}, p.log, int(p.memory(statementShare))); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	p.state = newStateFile()
+	p.readState(p.state, true)
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
-	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: func() bool { return p.Phase() == Serving },
+	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: p.ready, Take: p.drain.take, Leaving: p.drain.on,
 		In: transport.NewBudget(p.memory(inShare)), Out: transport.NewBudget(p.memory(answerShare))}
 	if p.front, err = transport.Listen(p.conf.Listen, clients-restClients, p.log, clientFront.Serve); err != nil {
 		return err
 	}
+	if p.conf.Admin != "" {
+		ops := &transport.Admin{Do: p.call, Log: p.log}
+		if p.admin, err = transport.Listen(p.conf.Admin, transport.AdminConnections, p.log, ops.Serve); err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+	}
 	var ctx context.Context
 	ctx, p.stop = context.WithCancel(context.Background())
 	if restConf.Listen != "" {
@@ -182,6 +193,10 @@
 	p.roster.Known(p.conf.Known)
 	go p.roster.Run(ctx)
 	go p.front.Run()
+	go p.followState(ctx)
+	if p.admin != nil {
+		go p.admin.Run()
+	}
 	if p.restFront != nil {
 		go p.restFront.Run()
 	}
@@ -206,7 +221,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Spool: p.spool, Keep: time.Duration(c.KeepSeconds) * time.Second,
-		Pass: func() bool { return p.Phase() == Serving }, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
+		Pass: p.ready, Take: p.drain.take, Leaving: p.drain.on, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
 	}
@@ -240,6 +255,9 @@
 		p.restFront.Close()
 	}
 	p.stop()
+	if p.admin != nil {
+		p.admin.Close()
+	}
 	if p.store != nil {
 		if err := p.store.Close(); err != nil {
 			p.log.Warn("record not closed", "err", err)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -40,6 +40,7 @@
 	running  sync.WaitGroup
 	open     atomic.Int64
 	takenAt  atomic.Int64
+	hand     *hand
 	Counts   *Counters
 }
 
@@ -65,9 +66,10 @@
 
 // engine is a member of the list and the way to it.
 type engine struct {
-	Member
-	way   Engine
-	ready atomic.Bool
+	Member        // as the module was told of it, with the hand's word over the list's
+	listed Member // as the list gave it
+	way    Engine
+	ready  atomic.Bool
 }
 
 // NewCore returns a core whose loop is not yet running. The statements of all open
@@ -80,7 +82,7 @@
 	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen, room: statements,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, calls: map[string]struct{}{}, engines: map[decide.EngineID]*engine{},
-		Counts: newCounters(set)}
+		hand: newHand(), Counts: newCounters(set)}
 	if set.MaxOpen > 0 {
 		c.limit = min(set.MaxOpen, maxOpen)
 	}
@@ -337,7 +339,8 @@
 		return
 	}
 	try := Attempt{Call: r.query.Call, Class: c.set.Classes[r.query.Class].Name, Statement: r.query.Statement,
-		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Sink: r.query.Sink, Ready: e.ready.Load}
+		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Sink: r.query.Sink,
+		Ready: func() bool { return e.ready.Load() && !c.hand.isOut(e.Name) }}
 	if try.Sink != nil {
 		try.Sink = &lively{Sink: try.Sink, tell: func() {
 			c.post(func() {
@@ -421,14 +424,14 @@
 	ev := decide.ListChanged{Kind: kind}
 	named := map[decide.EngineID]bool{}
 	for _, m := range members {
-		ev.Entries = append(ev.Entries, m.EngineEntry)
+		ev.Entries = append(ev.Entries, c.member(m))
 		named[m.ID] = true
-		c.member(m)
 	}
 	if kind != decide.ListDelta {
-		for id := range c.engines {
+		for id, e := range c.engines {
 			if !named[id] {
 				c.drop(id)
+				c.unlisted(e.Name)
 			}
 		}
 	}
@@ -462,16 +465,19 @@
 	}
 }
 
-func (c *Core) member(m Member) {
+// member keeps the way to a member in step with the list and returns what the module is to be told.
+func (c *Core) member(m Member) decide.EngineEntry {
 	e := c.engines[m.ID]
+	listed := m
+	m.EngineEntry = c.entry(m)
 	if m.State == decide.EngineGone {
 		c.drop(m.ID)
-		return
+		return m.EngineEntry
 	}
 	// A new address or a fresh start is another process: what was kept for the old one is of no use.
 	if e != nil && (m.Addr != "" && e.Addr != m.Addr || m.Started > e.Started) {
 		if m.Addr == "" {
-			m.Addr = e.Addr
+			m.Addr, listed.Addr = e.Addr, e.Addr
 		}
 		c.drop(m.ID)
 		e = nil
@@ -480,8 +486,10 @@
 		e = &engine{Member: m, way: c.dialer.Engine(m)}
 		c.engines[m.ID] = e
 	}
+	e.listed = listed
 	e.State, e.Started = m.State, max(e.Started, m.Started)
 	e.ready.Store(m.State == decide.EngineReady)
+	return m.EngineEntry
 }
 
 func (c *Core) drop(id decide.EngineID) {
--- /dev/null
+++ b/internal/routing/hand.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"aniseloft/decide"
+	"aniseloft/internal/oncall"
+)
+
+// hand keeps the engines out by hand where both the core's goroutine and the
+// operators' calls reach them. What is out is also kept as a set that a send looks at
+// as its first byte goes: a ban holds from its yes, before the module has heard of it.
+type hand struct {
+	mu    sync.Mutex
+	state *oncall.Hand
+	out   atomic.Pointer[map[string]bool]
+}
+
+func newHand() *hand {
+	h := &hand{state: oncall.NewHand()}
+	h.out.Store(&map[string]bool{})
+	return h
+}
+
+// isOut tells whether an engine is out by hand; it takes no lock.
+func (h *hand) isOut(name string) bool { return (*h.out.Load())[name] }
+
+// changed rebuilds the set that sends look at; the lock is held.
+func (h *hand) changed() {
+	out := map[string]bool{}
+	for _, b := range h.state.Bans() {
+		out[b.ID] = true
+	}
+	h.out.Store(&out)
+}
+
+// Suspend takes the engine of that id out; calls counts the calls since the first.
+// It holds for new sends once it returns; the module hears of it soon after.
+func (c *Core) Suspend(id string) (calls int, err error) {
+	c.hand.mu.Lock()
+	calls, err = c.hand.state.Suspend(id, now())
+	c.hand.changed()
+	c.hand.mu.Unlock()
+	if err == nil {
+		go c.post(c.retell)
+	}
+	return calls, err
+}
+
+// Restore lets the engine of that id back, as one that started just now; was tells
+// whether it was out.
+func (c *Core) Restore(id string) (was bool, err error) {
+	c.hand.mu.Lock()
+	was, err = c.hand.state.Restore(id, now())
+	c.hand.changed()
+	c.hand.mu.Unlock()
+	if was {
+		go c.post(c.retell)
+	}
+	return was, err
+}
+
+// Hand runs f on what is out by hand, under its lock: to read it, write it out, or
+// take what another process wrote. The module is told again where f says so.
+func (c *Core) Hand(f func(h *oncall.Hand) (changed bool)) {
+	c.hand.mu.Lock()
+	changed := f(c.hand.state)
+	c.hand.changed()
+	c.hand.mu.Unlock()
+	if changed {
+		go c.post(c.retell)
+	}
+}
+
+// entry is what the module is told of a member: the list's word, with the hand's over it.
+func (c *Core) entry(m Member) decide.EngineEntry {
+	c.hand.mu.Lock()
+	defer c.hand.mu.Unlock()
+	c.hand.state.Listed(m.Name, m.State != decide.EngineGone)
+	return c.hand.state.Entry(m.Name, m.EngineEntry)
+}
+
+// unlisted tells the hand that the list no longer names an engine.
+func (c *Core) unlisted(name string) {
+	c.hand.mu.Lock()
+	defer c.hand.mu.Unlock()
+	c.hand.state.Listed(name, false)
+}
+
+// retell tells the module again of every engine, with the hand's word over the list's.
+func (c *Core) retell() {
+	var members []Member
+	for _, e := range c.engines {
+		members = append(members, e.listed)
+	}
+	if len(members) > 0 {
+		c.listed(decide.ListDelta, members)
+	}
+}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"aniseloft/internal/oncall"
 	"aniseloft/internal/protocol/jsonrpc"
 	"aniseloft/internal/routing"
 )
@@ -19,15 +20,23 @@
 	// strikeRest is how long a connection goes unread after messages that can't be
 	// taken: a client that sends such at full speed must not fill the core.
 	strikeRest = 20 * time.Millisecond
+	// leaveLook is how often a reader looks whether its connection may go, during a drain.
+	leaveLook = 50 * time.Millisecond
 )
 
 // Clients is the front that speaks the platform's protocol.
 type Clients struct {
 	Core *routing.Core
-	Pass func() bool // whether new requests are welcome
-	In   *Budget     // what unfinished messages of all clients hold
-	Out  *Budget     // what answers not yet written hold
-	Log  *slog.Logger
+	Pass func() bool // whether new connections are welcome: the answer to alive
+	// Take tells whether a request that came whole at that time is taken; if not, it is
+	// refused with oncall.ComeBack. Nil: all are.
+	Take func(time.Time) bool
+	// Leaving tells whether clients are sent away: a connection with nothing open is
+	// closed. Nil: never.
+	Leaving func() bool
+	In      *Budget // what unfinished messages of all clients hold
+	Out     *Budget // what answers not yet written hold
+	Log     *slog.Logger
 }
 
 // client is one connection.
@@ -58,9 +67,17 @@
 	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
 	var m jsonrpc.Machine
 	for held := 0; ctx.Err() == nil; {
-		b, err := l.read(ctx, g.due(clientIdle))
+		leaving := f.leaving()
+		if leaving && g.quiet() {
+			break
+		}
+		due := g.due(clientIdle)
+		if look := time.Now().Add(leaveLook); leaving && look.Before(due) {
+			due = look
+		}
+		b, err := l.read(ctx, due)
 		at := time.Now()
-		if err != nil && isTimeout(err) && at.Before(g.due(clientIdle)) {
+		if err != nil && isTimeout(err) && (at.Before(g.due(clientIdle)) || leaving || f.leaving()) {
 			continue
 		}
 		if err != nil {
@@ -87,6 +104,8 @@
 	<-written
 }
 
+func (f *Clients) leaving() bool { return f.Leaving != nil && f.Leaving() }
+
 // take handles one message; at is when its last byte was read.
 func (k *client) take(msg any, at time.Time) {
 	switch msg := msg.(type) {
@@ -154,6 +173,10 @@
 		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: "+err.Error()))
 		return
 	}
+	if k.front.Take != nil && !k.front.Take(at) {
+		k.send(jsonrpc.Refused(m.ID, "this coordinator is sending its clients away", float64(oncall.ComeBack.Milliseconds())))
+		return
+	}
 	r := &reply{c: k, id: m.ID}
 	k.mu.Lock()
 	full := len(k.open) >= maxPerClient
@@ -188,6 +211,9 @@
 	}
 	r.c.close(r.id)
 	r.c.queue(line)
+	if len(r.c.open) == 0 && r.c.front.leaving() {
+		_ = r.c.guest.SetReadDeadline(time.Now()) // its reader is to close it
+	}
 }
 
 func (k *client) send(line []byte) {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -8,7 +8,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -18,6 +21,9 @@
 	// What has come just now may have its first message on the way: it is not closed for others.
 	spareIdle = 25 * time.Millisecond
 	roomEach  = 5 * time.Millisecond // between looks for a connection to close
+	// firstBy is how long a connection that came during a drain may take to send its first
+	// message, which is then served; one that says nothing for so long is closed.
+	firstBy = 300 * time.Millisecond
 )
 
 // Budget bounds the bytes that all connections of a front hold together.
@@ -80,6 +86,14 @@
 	return g.since.Add(idle)
 }
 
+// quiet tells whether a connection may be closed for a drain: nothing is open on it,
+// no message is under way, and it has had its chance to send its first.
+func (g *Guest) quiet() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open == 0 && g.half.IsZero() && (g.whole || time.Since(g.since) >= firstBy)
+}
+
 // idleSince tells since when nothing is open on it; ok is false while something is.
 func (g *Guest) idleSince() (at time.Time, ok bool) {
 	g.mu.Lock()
@@ -104,8 +118,10 @@
 // Listen opens addr; at most limit connections are served at a time. Where more
 // come, the one idle the longest is closed for each.
 func Listen(addr string, limit int, log *slog.Logger, serve func(context.Context, *Guest)) (*Listener, error) {
-	c := net.ListenConfig{KeepAlive: -1} // each read has its own limit, and the calls to set it up cost
-	n, err := c.Listen(context.Background(), "tcp", addr)
+	// Each read has its own limit, and the calls to set it up cost. A second process of an
+	// upgrade listens at the same address beside the first.
+	c := net.ListenConfig{KeepAlive: -1, Control: reusePort}
+	n, err := c.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -114,6 +130,18 @@
 	return l, nil
 }
 
+// reusePort lets another process listen at the address too; the kernel shares the
+// connections that come between them.
+func reusePort(_, _ string, c syscall.RawConn) error {
+	var err error
+	if ctl := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); ctl != nil {
+		return ctl
+	}
+	return err
+}
+
 // String is the front's counters: a connection closed for another had nothing open.
 func (l *Listener) String() string {
 	l.mu.Lock()
@@ -191,6 +219,15 @@
 	return true
 }
 
+// Poke wakes the readers of all connections, that they look again whether to go on.
+func (l *Listener) Poke() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for g := range l.guests {
+		_ = g.SetReadDeadline(time.Now())
+	}
+}
+
 // Close stops accepting, lets the connections write what they have queued,
 // and waits for their end.
 func (l *Listener) Close() {
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -14,6 +14,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"aniseloft/decide"
+	"aniseloft/internal/oncall"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/routing"
@@ -40,10 +41,14 @@
 	Core  *routing.Core
 	Store *store.Store
 	Spool *spool.Store // of results; nil: the record holds their pages
-	Pass  func() bool
-	In    *Budget       // what unfinished requests of all clients hold
-	Keep  time.Duration // how long an ended query can be read and its key is held
-	Log   *slog.Logger
+	Pass  func() bool  // the answer to /v1/info: whether new clients are welcome
+	// Take and Leaving are the drain's, as on the other front: whether a statement that
+	// came whole then is taken, and whether a connection with nothing open is closed.
+	Take    func(time.Time) bool
+	Leaving func() bool
+	In      *Budget       // what unfinished requests of all clients hold
+	Keep    time.Duration // how long an ended query can be read and its key is held
+	Log     *slog.Logger
 
 	mu   sync.Mutex
 	live map[string]*restQuery
@@ -128,7 +133,18 @@
 	m, held := rest.NewMachine(), 0
 	defer func() { f.In.move(held, 0) }()
 	for ctx.Err() == nil {
-		b, err := l.read(ctx, g.due(restIdle))
+		leaving := f.Leaving != nil && f.Leaving()
+		if leaving && g.quiet() {
+			return
+		}
+		due := g.due(restIdle)
+		if look := time.Now().Add(leaveLook); leaving && look.Before(due) {
+			due = look
+		}
+		b, err := l.read(ctx, due)
+		if err != nil && isTimeout(err) && leaving && time.Now().Before(g.due(restIdle)) {
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -206,6 +222,9 @@
 	if class.Repeat == decide.RepeatOnce && m.Key == "" {
 		return rest.Plain(400, rest.HeaderKey+" is needed: this class must never run twice")
 	}
+	if f.Take != nil && !f.Take(at) {
+		return refusal(token(), oncall.ComeBack)
+	}
 	timeout := class.Deadline
 	if m.TimeoutMS > 0 {
 		timeout = min(m.TimeoutMS, timeout)
