Test the admin line machine and the on-call state without a process

Need: the bans, the drain and the line protocol are decisions and state of their own and must be shown apart from the program. Change: tests of pieces of a line, every bad line, long lines, lines with no end; two calls out and one back, ids nobody has, bans that outlive the list, the state file both ways and the later state winning, bad files; the drain's times; rapid draws calls and checks that an engine is out exactly while its last SUSPEND stands, here and after the file.

--- /dev/null
+++ b/internal/oncall/oncall_test.go
@@ -0,0 +1,149 @@
+package oncall
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"aniseloft/decide"
+)
+
+var active = decide.EngineEntry{ID: 1, State: decide.EngineReady}
+
+func TestTwoCallsOutAndOneBack(t *testing.T) {
+	h := NewHand()
+	h.Listed("s-1", true)
+	calls, err := h.Suspend("s-1", 100)
+	require.NoError(t, err)
+	require.Equal(t, 1, calls)
+	calls, _ = h.Suspend("s-1", 200)
+	require.Equal(t, 2, calls)
+	require.Equal(t, decide.EngineDraining, h.Entry("s-1", active).State, "whatever the list says")
+	was, err := h.Restore("s-1", 300)
+	require.NoError(t, err)
+	require.True(t, was)
+	e := h.Entry("s-1", active)
+	require.Equal(t, decide.EngineReady, e.State, "one call back answers two calls out")
+	require.Equal(t, decide.Millis(300), e.Started, "back, it counts as started then: cold")
+	was, err = h.Restore("s-1", 400)
+	require.NoError(t, err)
+	require.False(t, was)
+}
+
+func TestIdsNobodyHasChangeNothing(t *testing.T) {
+	h := NewHand()
+	h.Listed("s-1", true)
+	seq := h.Seq()
+	_, err := h.Suspend("s-2", 1)
+	require.ErrorIs(t, err, ErrNoEngine)
+	_, err = h.Restore("s-2", 1)
+	require.ErrorIs(t, err, ErrNoEngine)
+	require.Equal(t, seq, h.Seq())
+	require.Empty(t, h.Bans())
+}
+
+func TestABanOutlivesTheEngineInTheList(t *testing.T) {
+	h := NewHand()
+	h.Listed("s-1", true)
+	_, _ = h.Suspend("s-1", 1)
+	h.Listed("s-1", false) // the list let it go, and it comes back under its name
+	require.True(t, h.Known("s-1"))
+	require.Equal(t, decide.EngineDraining, h.Entry("s-1", active).State)
+	gone := decide.EngineEntry{ID: 1, State: decide.EngineGone}
+	require.Equal(t, decide.EngineGone, h.Entry("s-1", gone).State, "what is gone stays gone")
+	was, err := h.Restore("s-1", 2)
+	require.NoError(t, err)
+	require.True(t, was)
+}
+
+func TestTheStateFileRoundTripsAndTheLaterWins(t *testing.T) {
+	old := NewHand()
+	old.Listed("s-1", true)
+	old.Listed("s-2", true)
+	_, _ = old.Suspend("s-1", 10)
+	_, _ = old.Suspend("s-2", 20)
+	_, _ = old.Restore("s-2", 30)
+	s, err := Decode(old.Encode(40))
+	require.NoError(t, err)
+	fresh := NewHand()
+	require.True(t, fresh.Adopt(s))
+	require.True(t, fresh.Out("s-1"))
+	require.Equal(t, decide.Millis(30), fresh.Entry("s-2", active).Started)
+	require.False(t, fresh.Adopt(s), "the same state twice is no news")
+
+	// The fresh one changes on; an older state must not undo that.
+	fresh.Listed("s-2", true)
+	_, _ = fresh.Suspend("s-2", 50)
+	require.False(t, fresh.Adopt(s))
+	require.True(t, fresh.Out("s-2"))
+}
+
+func TestBadStateFilesAreTold(t *testing.T) {
+	for text, want := range map[string]error{
+		`{"version":1,"seq":3,"bans":[{"id":"s-1","ca`: ErrCorrupt,
+		``:                                   ErrCorrupt,
+		`{"version":2,"seq":3}`:              ErrVersion,
+		`{"version":1,"bans":[{"id":""}]}`:   ErrCorrupt,
+		`{"version":1,"back":[{"at_ms":3}]}`: ErrCorrupt,
+	} {
+		_, err := Decode([]byte(text))
+		require.ErrorIs(t, err, want, text)
+	}
+}
+
+func TestTheDrainTakesThenRefusesAndLetsIdleConnectionsGo(t *testing.T) {
+	var d Drain
+	at := time.Unix(1000, 0)
+	require.True(t, d.Take(at))
+	require.False(t, d.Leave(0, false))
+	require.False(t, d.Pause(at))
+	require.True(t, d.Pause(at.Add(time.Second)), "a second PAUSE")
+	require.Equal(t, at, d.Since(), "keeps the first one's time")
+	require.True(t, d.Take(at.Add(TakeFor-time.Millisecond)))
+	require.False(t, d.Take(at.Add(TakeFor)))
+	require.True(t, d.Leave(0, false))
+	require.False(t, d.Leave(1, false), "what is open is answered first")
+	require.False(t, d.Leave(0, true), "a message under way is read first")
+	require.True(t, d.Resume())
+	require.False(t, d.Resume(), "RESUME without PAUSE")
+	require.True(t, d.Take(at.Add(time.Hour)))
+}
+
+// Whatever calls come, in whatever order, an engine is out exactly while its last
+// SUSPEND has no RESTORE after it, and the file gives another process the same view.
+func TestBansFollowTheLastCall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHand()
+		ids := []string{"s-1", "s-2", "s-3"}
+		for _, id := range ids[:2] {
+			h.Listed(id, true)
+		}
+		want := map[string]bool{}
+		for i := range rapid.IntRange(0, 40).Draw(t, "calls") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			now := decide.Millis(i)
+			if rapid.Bool().Draw(t, "suspend") {
+				if _, err := h.Suspend(id, now); err == nil {
+					want[id] = true
+				} else if id != "s-3" {
+					t.Fatalf("a listed id refused: %v", err)
+				}
+			} else if _, err := h.Restore(id, now); err == nil {
+				delete(want, id)
+			}
+		}
+		s, err := Decode(h.Encode(100))
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := NewHand()
+		other.Adopt(s)
+		for _, id := range ids {
+			if h.Out(id) != want[id] || other.Out(id) != want[id] {
+				t.Fatalf("%s: out %v, other %v, want %v", id, h.Out(id), other.Out(id), want[id])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/admin/admin_test.go
@@ -0,0 +1,79 @@
+package admin
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func feed(m *Machine, parts ...string) (c Call, done bool, err error) {
+	for _, p := range parts {
+		if c, done, err = m.Feed([]byte(p)); done {
+			return
+		}
+	}
+	return
+}
+
+func TestCallsComeWholeInAnyPieces(t *testing.T) {
+	for line, want := range map[string]Call{
+		"STATUS\n":             {Verb: Status},
+		"status\r\n":           {Verb: Status},
+		"SUSPEND s-00c41f7a\n": {Verb: Suspend, ID: "s-00c41f7a"},
+		"  RESTORE\ts-1  \n":   {Verb: Restore, ID: "s-1"},
+		"PAUSE\n":              {Verb: Pause},
+		"Resume\n":             {Verb: Resume},
+	} {
+		for cut := range len(line) {
+			var m Machine
+			c, done, err := feed(&m, line[:cut], line[cut:])
+			require.True(t, done, "%q cut at %d", line, cut)
+			require.NoError(t, err)
+			require.Equal(t, want, c)
+		}
+	}
+}
+
+func TestWhatIsNoCallSaysWhy(t *testing.T) {
+	for line, want := range map[string]error{
+		"FLY\n":             ErrUnknown,
+		"SUSPEND\n":         ErrNoID,
+		"RESTORE \n":        ErrNoID,
+		"PAUSE now\n":       ErrExtra,
+		"\n":                ErrEmpty,
+		"STATUS\x00\n":      ErrNotText,
+		"SUSPEND é\n":       ErrNotText,
+		"SUSPEND s-1\x7f\n": ErrNotText,
+	} {
+		var m Machine
+		_, done, err := m.Feed([]byte(line))
+		require.True(t, done)
+		require.ErrorIs(t, err, want, "%q", line)
+	}
+}
+
+func TestLongLinesEndEarly(t *testing.T) {
+	var m Machine
+	_, done, err := m.Feed([]byte(strings.Repeat("x", MaxLine-1)))
+	require.False(t, done)
+	require.NoError(t, err)
+	_, done, err = m.Feed([]byte("x"))
+	require.True(t, done, "no need to wait for the end of what is too long already")
+	require.ErrorIs(t, err, ErrTooLong)
+	_, _, err = m.Feed([]byte("\n"))
+	require.Error(t, err, "one call a connection")
+}
+
+func TestALineWithNoEndIsNoCall(t *testing.T) {
+	var m Machine
+	_, done, _ := m.Feed([]byte("STATUS"))
+	require.False(t, done)
+	require.ErrorIs(t, m.End(), ErrUnfinish)
+}
+
+func TestAnswersAreOneLine(t *testing.T) {
+	require.Equal(t, "ACK serving\n", string(Ack("serving")))
+	require.Equal(t, "NAK a b\n", string(Nak("a\nb")))
+	require.Equal(t, "ACK\n", string(Ack("")))
+}
