--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -97,6 +97,8 @@
 	require.Zero(t, a.count(&a.started, "x"))
 	require.Equal(t, 40, b.count(&b.started, "x"))
 
+	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
+	p.told("by_hand paused=false out=s-00000001:2\n")
 	require.Equal(t, "ACK s-00000001 back, cold", p.tell("RESTORE s-00000001"))
 	require.Equal(t, "ACK s-00000001 was not out", p.tell("RESTORE s-00000001"))
 	// Back and cold, it gets its part again soon after: one call back answers both calls out.
@@ -131,6 +133,8 @@
 	require.Equal(t, "ACK paused", p.tell("PAUSE"))
 	require.Equal(t, "ACK paused already", p.tell("PAUSE"))
 	require.Equal(t, "NAK paused", p.tell("STATUS"))
+	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
+	p.told("by_hand paused=true out=\n")
 	// An idle connection is closed at once.
 	require.NoError(t, idle.SetReadDeadline(time.Now().Add(due)))
 	_, err := idle.r.ReadString('\n')
@@ -156,7 +160,7 @@
 	require.Contains(t, again.call(`{"jsonrpc":"2.0","id":1,"method":"alive"}`), `"pass":true`)
 	spread(t, again, 2, 3)
 	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
-	p.told("answered_served=")
+	p.told("by_hand paused=false out=\n")
 }
 
 func TestSlowCallersDoNotDelayTheAnswerOfOthers(t *testing.T) {
--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -259,3 +260,15 @@
 		time.AfterFunc(pokeAgain, f.Poke)
 	}
 }
+
+// onCall is the line of what on-call staff set by hand, for SIGUSR1.
+func (p *Program) onCall() string {
+	var out []string
+	p.core.Hand(func(h *oncall.Hand) bool {
+		for _, b := range h.Bans() {
+			out = append(out, fmt.Sprintf("%s:%d", b.ID, b.Calls))
+		}
+		return false
+	})
+	return fmt.Sprintf("by_hand paused=%t out=%s\n", p.drain.on(), strings.Join(out, ","))
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -288,7 +288,7 @@
 
 // print writes the counters and what the module holds true of each engine.
 func (p *Program) print() {
-	text := p.core.Beliefs() + p.core.Counts.String() + p.pool.String() + p.front.String()
+	text := p.core.Beliefs() + p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall()
 	if p.restFront != nil {
 		text += p.restFront.String()
 	}
