--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -233,3 +233,19 @@
 	require.Zero(t, a.count(&a.started, "x"))
 	require.Equal(t, 5, b.count(&b.started, "x"))
 }
+
+func TestSIGTERMDuringADrainEndsAsUsual(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, false)
+	c := dial(t, p.listen)
+	c.send(query(1, "ridership-report", "stay", 9000))
+	eventually(t, func() bool { return e.count(&e.started, "stay") == 1 })
+	require.Equal(t, "ACK paused", p.tell("PAUSE"))
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.told("now=draining")
+	require.Equal(t, "NAK draining", p.tell("STATUS"))
+	require.Contains(t, p.tell("RESUME"), "NAK the process is ending")
+	close(e.release)
+	require.Contains(t, c.line(), `"id":1,"result"`, "what is open is answered")
+	require.NoError(t, p.Wait(), "exit code 0")
+}
