Hand an upgrade over: the old process stops accepting, sends clients away, answers all by 3.5 s

Ruled out: steering all new connections to the newer listener with a classic BPF program on the reuseport group; setsockopt answers EOPNOTSUPP on this kernel, before and after bind. After any SIGTERM a connection with nothing open is closed, requests after 1.6 s are refused with a 100 ms pushback, and at 3.5 s the core answers what is open: refused where it may be tried again, failed where a load may have run (oncall.Drain decides the times; routing.Core.HandBack). Tests: hand-back before the kill, hand-over to a successor.

--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -249,3 +250,62 @@
 	require.Contains(t, c.line(), `"id":1,"result"`, "what is open is answered")
 	require.NoError(t, p.Wait(), "exit code 0")
 }
+
+// taken is how many client connections a process has accepted, as SIGUSR1 tells.
+func (p *node) taken() int {
+	p.t.Helper()
+	was := strings.Count(p.logged(), "counters client_connections")
+	require.NoError(p.t, p.Process.Signal(syscall.SIGUSR1))
+	eventually(p.t, func() bool { return strings.Count(p.logged(), "counters client_connections") > was })
+	text := p.logged()
+	line := text[strings.LastIndex(text, "counters client_connections"):]
+	var n int
+	_, err := fmt.Sscanf(line[strings.Index(line, "taken="):], "taken=%d", &n)
+	require.NoError(p.t, err)
+	return n
+}
+
+func TestTheOldProcessOfAnUpgradeHandsItsClientsOver(t *testing.T) {
+	t.Parallel()
+	old, e, j := world(t, false)
+	held := dial(t, old.listen) // the old one's: it is alone at the address yet
+	held.send(query(1, "ridership-report", "stay", 9000))
+	eventually(t, func() bool { return e.count(&e.started, "stay") == 1 })
+	fresh := &node{t: t, dir: old.dir, listen: old.listen, admin: freeAddr(t), log: &bytes.Buffer{}}
+	fresh.configure(j)
+	fresh.start(os.Environ())
+	require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+	old.told("a successor serves at the clients' address")
+	before := old.taken()
+	for id := 1; id <= 20; id++ {
+		c := dial(t, old.listen)
+		spread(t, c, id, 1)
+		c.Close()
+	}
+	require.Equal(t, before, old.taken(), "after SIGTERM the old process takes no new connection")
+	close(e.release)
+	require.Contains(t, held.line(), `"id":1,"result"`, "what was open is answered")
+	_, err := held.r.ReadString('\n')
+	require.ErrorIs(t, err, io.EOF, "then its connection is closed")
+	require.NoError(t, old.Wait())
+	spread(t, dial(t, fresh.listen), 21, 3)
+}
+
+func TestSIGTERMHandsBackWhatWouldOutliveTheKill(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, false)
+	c := dial(t, p.listen)
+	c.send(query(1, "ridership-report", "stay", 20000))
+	c.send(query(2, "timetable-load", "stay load", 20000))
+	eventually(t, func() bool { return e.count(&e.started, "stay") >= 1 && e.count(&e.started, "stay load") == 1 })
+	at := time.Now()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	answers := c.line() + c.line()
+	require.Contains(t, answers, `{"jsonrpc":"2.0","id":1,"error":{"code":-32000`, "what may be tried again is refused")
+	require.Contains(t, answers, `"pushback":100`)
+	require.Contains(t, answers, `{"jsonrpc":"2.0","id":2,"error":{"code":-32001`, "a load that may have run is failed")
+	require.NoError(t, p.Wait())
+	require.Less(t, time.Since(at), 3700*time.Millisecond, "all is answered and the process is gone before the kill")
+	require.Contains(t, p.logged(), "handed_back=2")
+	eventually(t, func() bool { return e.count(&e.ended, "stay") >= 1 && e.count(&e.ended, "stay load") == 1 })
+}
--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -164,6 +164,36 @@
 
 func (d *drain) take(at time.Time) bool { d.mu.Lock(); defer d.mu.Unlock(); return d.d.Take(at) }
 
+// handOver begins the end after SIGTERM: clients are sent away, and what is still open
+// when the kill may come is answered. Where another process of this coordinator lives,
+// no connection is taken any more: an upgrade's successor is at the clients' address,
+// and takes them all from now on. Alone, the process takes them for as long as the
+// platform sends them.
+func (p *Program) handOver() {
+	p.drain.mu.Lock()
+	p.drain.d.Term(time.Now())
+	at := p.drain.d.HandBack()
+	p.drain.mu.Unlock()
+	time.AfterFunc(time.Until(at), func() {
+		p.core.HandBack(oncall.ComeBack)
+		p.poke()
+	})
+	p.poke()
+	if !p.live.others() {
+		return
+	}
+	p.log.Info("a successor serves at the clients' address: no new connections here")
+	p.front.StopAccepting()
+	if p.restFront != nil {
+		p.restFront.StopAccepting()
+	}
+}
+
+// leaving tells whether clients are sent away: a connection with nothing open is closed.
+// So it is in a drain by hand and after SIGTERM: the successor of an upgrade, or another
+// coordinator, takes what its clients send next.
+func (p *Program) leaving() bool { p.drain.mu.Lock(); defer p.drain.mu.Unlock(); return p.drain.d.Leaving() }
+
 // ready tells whether this process can serve and welcomes clients.
 func (p *Program) ready() bool { return p.Phase() == Serving && !p.drain.on() }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -72,6 +72,7 @@
 	admin  *transport.Listener // nil where there is no second address
 	drain  drain
 	state  *stateFile
+	live   *live
 
 	// The second front; nil where it is off.
 	rest      *transport.RestClients
@@ -98,6 +99,7 @@
 		case <-end: // a second one changes nothing
 			if p.Phase() == Serving {
 				p.enter(Draining)
+				p.handOver()
 			}
 		case <-reload:
 			p.reload()
@@ -111,6 +113,7 @@
 		}
 	}
 	p.print()
+	p.live.release()
 	return 0
 }
 
@@ -168,10 +171,11 @@
 		Rest: restKinds(restConf), User: p.conf.Name}, p.log, int(p.memory(statementShare))); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	p.live = registerLive(os.TempDir())
 	p.state = newStateFile()
 	p.readState(p.state, true)
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
-	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: p.ready, Take: p.drain.take, Leaving: p.drain.on,
+	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: p.ready, Take: p.drain.take, Leaving: p.leaving,
 		In: transport.NewBudget(p.memory(inShare)), Out: transport.NewBudget(p.memory(answerShare))}
 	if p.front, err = transport.Listen(p.conf.Listen, clients-restClients, p.log, clientFront.Serve); err != nil {
 		return err
@@ -221,7 +225,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Spool: p.spool, Keep: time.Duration(c.KeepSeconds) * time.Second,
-		Pass: p.ready, Take: p.drain.take, Leaving: p.drain.on, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
+		Pass: p.ready, Take: p.drain.take, Leaving: p.leaving, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -58,10 +58,21 @@
 
 // attempt is a send that has no outcome yet, or had one.
 type attempt struct {
-	engine *engine
-	at     time.Time
-	cancel context.CancelFunc
-	over   bool
+	engine  *engine
+	at      time.Time
+	cancel  context.CancelFunc
+	over    bool
+	outcome decide.Outcome // once over
+}
+
+// mayHaveRun tells whether any attempt of a request may have run at its engine.
+func (r *request) mayHaveRun() bool {
+	for _, t := range r.attempts {
+		if !t.over || t.outcome != decide.OutcomeFull && t.outcome != decide.OutcomeConnectFailed && t.outcome != decide.OutcomeNotSent {
+			return true
+		}
+	}
+	return false
 }
 
 // engine is a member of the list and the way to it.
@@ -214,6 +225,28 @@
 		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB})
 }
 
+// HandBack answers what is open, for a process that is about to be killed: what may be
+// tried again is refused with comeBack, so that its client goes elsewhere at once; a
+// request that must not run twice and may have run is told failed. The module hears that
+// each client has gone, and gives up its attempts.
+func (c *Core) HandBack(comeBack time.Duration) {
+	c.post(func() {
+		for _, r := range c.requests {
+			if r.front == nil {
+				continue
+			}
+			a := Answer{Kind: Refused, ComeBack: comeBack, Why: "handed back: this process ends"}
+			if c.set.Classes[r.query.Class].Repeat != decide.RepeatSafe && r.mayHaveRun() {
+				a = Answer{Kind: Failed, Why: "this process ends, and the load may have run"}
+			}
+			c.Counts.handedBack.Add(1)
+			c.answer(r, a)
+			c.handle(decide.ClientGone{ID: r.id})
+			c.forget(r)
+		}
+	})
+}
+
 func (c *Core) expired(r *request) {
 	if r.front == nil {
 		return
@@ -380,7 +413,7 @@
 // ended books an attempt's outcome. The first that is served is the answer.
 func (c *Core) ended(r *request, n int, id decide.EngineID, res Result) {
 	t := r.attempts[n]
-	t.over = true
+	t.over, t.outcome = true, res.Outcome
 	t.cancel()
 	r.running--
 	c.Counts.ended(r.query.Class, res.Outcome)
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -13,6 +13,7 @@
 	classes         []classCounters
 	cancels, probes atomic.Int64
 	panics          atomic.Int64
+	handedBack      atomic.Int64 // answered by the core as the process ends
 }
 
 const outcomes = int(decide.OutcomeLost) + 1
@@ -54,6 +55,7 @@
 		}
 		b.WriteByte('\n')
 	}
-	fmt.Fprintf(&b, "counters cancels=%d probes=%d panics=%d\n", c.cancels.Load(), c.probes.Load(), c.panics.Load())
+	fmt.Fprintf(&b, "counters cancels=%d probes=%d panics=%d handed_back=%d\n", c.cancels.Load(), c.probes.Load(), c.panics.Load(),
+		c.handedBack.Load())
 	return b.String()
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -113,6 +113,9 @@
 	active sync.WaitGroup
 	log    *slog.Logger
 	counts struct{ taken, closed atomic.Int64 }
+	// stopping is set once no more connections are to be taken: what the backlog holds
+	// is still accepted, then the listener closes.
+	stopping atomic.Bool
 }
 
 // Listen opens addr; at most limit connections are served at a time. Where more
@@ -130,8 +133,9 @@
 	return l, nil
 }
 
-// reusePort lets another process listen at the address too; the kernel shares the
-// connections that come between them.
+// reusePort lets another process listen at the address too: the kernel shares the
+// connections that come between the two. (Steering them all to the newer process with a
+// classic BPF program was tried: the kernel here does not support it.)
 func reusePort(_, _ string, c syscall.RawConn) error {
 	var err error
 	if ctl := c.Control(func(fd uintptr) {
@@ -161,6 +165,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && isTimeout(err) && l.stopping.Load() {
+			_ = l.net.Close()
+			return
+		}
 		if err != nil {
 			l.log.Warn("accept", "err", err)
 			time.Sleep(roomEach) // out of descriptors: let some come free
@@ -219,6 +227,21 @@
 	return true
 }
 
+// sweep is how long a listener that stops still accepts what its backlog holds.
+const sweep = 5 * time.Millisecond
+
+// StopAccepting takes what waits in the backlog, then closes the listener: another
+// process at the address takes the connections that come later. What was accepted is
+// served on.
+func (l *Listener) StopAccepting() {
+	l.stopping.Store(true)
+	if t, ok := l.net.(*net.TCPListener); ok {
+		_ = t.SetDeadline(time.Now().Add(sweep))
+	} else {
+		_ = l.net.Close()
+	}
+}
+
 // Poke wakes the readers of all connections, that they look again whether to go on.
 func (l *Listener) Poke() {
 	l.mu.Lock()
