--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -192,7 +192,11 @@
 // leaving tells whether clients are sent away: a connection with nothing open is closed.
 // So it is in a drain by hand and after SIGTERM: the successor of an upgrade, or another
 // coordinator, takes what its clients send next.
-func (p *Program) leaving() bool { p.drain.mu.Lock(); defer p.drain.mu.Unlock(); return p.drain.d.Leaving() }
+func (p *Program) leaving() bool {
+	p.drain.mu.Lock()
+	defer p.drain.mu.Unlock()
+	return p.drain.d.Leaving()
+}
 
 // ready tells whether this process can serve and welcomes clients.
 func (p *Program) ready() bool { return p.Phase() == Serving && !p.drain.on() }
