After SIGTERM take what can end before the hand-back; count drains' closes and refusals

Change: oncall.Drain.Take weighs a request's expected time (1.5 x its work over the class's threads, or the class's aim) against the hand-back; by hand the 1.6 s cut stays, as the drain's 2 s rule needs it. SIGUSR1 shows closed_leaving and sent_away for each front.

--- a/internal/oncall/drain.go
+++ b/internal/oncall/drain.go
@@ -62,15 +62,28 @@
 	return d.since
 }
 
-// Take tells whether a request that came whole at now is taken; if not, it is refused
-// with ComeBack.
-func (d *Drain) Take(now time.Time) bool {
-	if !d.term.IsZero() && now.Sub(d.term) >= TakeFor {
+// Take tells whether a request that came whole at now, and is expected to take so long,
+// is taken; if not, it is refused with ComeBack. By hand nothing new is taken after
+// TakeFor; after SIGTERM what can end before the hand-back is taken, as its client is
+// best served here and a connection with nothing open goes anyway.
+func (d *Drain) Take(now time.Time, expect time.Duration) bool {
+	if !d.term.IsZero() && now.Add(expect).After(d.HandBack()) {
 		return false
 	}
 	return !d.on || now.Sub(d.since) < TakeFor
 }
 
+// Expect is how long a request is taken to need, in the worst case that is likely:
+// half as long again as its estimate of work, in ms on one core, spread over the class's
+// threads, and no less than the class's aim, in ms, where there is no estimate.
+func Expect(workMS float64, threads int, aimMS float64) time.Duration {
+	ms := aimMS
+	if workMS > 0 {
+		ms = 1.5*workMS/float64(max(threads, 1)) + 50
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // Leaving tells whether clients are being sent away: a connection with nothing open is
 // closed.
 func (d *Drain) Leaving() bool { return d.on || !d.term.IsZero() }
--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -162,7 +162,11 @@
 
 func (d *drain) on() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.d.On() }
 
-func (d *drain) take(at time.Time) bool { d.mu.Lock(); defer d.mu.Unlock(); return d.d.Take(at) }
+func (d *drain) take(at time.Time, expect time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.d.Take(at, expect)
+}
 
 // handOver begins the end after SIGTERM: clients are sent away, and what is still open
 // when the kill may come is answered. Where another process of this coordinator lives,
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -28,9 +28,9 @@
 type Clients struct {
 	Core *routing.Core
 	Pass func() bool // whether new connections are welcome: the answer to alive
-	// Take tells whether a request that came whole at that time is taken; if not, it is
-	// refused with oncall.ComeBack. Nil: all are.
-	Take func(time.Time) bool
+	// Take tells whether a request that came whole at that time, and is expected to
+	// take so long, is taken; if not, it is refused with oncall.ComeBack. Nil: all are.
+	Take func(time.Time, time.Duration) bool
 	// Leaving tells whether clients are sent away: a connection with nothing open is
 	// closed. Nil: never.
 	Leaving func() bool
@@ -69,6 +69,7 @@
 	for held := 0; ctx.Err() == nil; {
 		leaving := f.leaving()
 		if leaving && g.quiet() {
+			g.leave()
 			break
 		}
 		due := g.due(clientIdle)
@@ -173,7 +174,9 @@
 		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: "+err.Error()))
 		return
 	}
-	if k.front.Take != nil && !k.front.Take(at) {
+	cls := core.Settings().Classes[class]
+	if k.front.Take != nil && !k.front.Take(at, oncall.Expect(m.Work, cls.Threads, cls.Aim)) {
+		k.guest.sentAway()
 		k.send(jsonrpc.Refused(m.ID, "this coordinator is sending its clients away", float64(oncall.ComeBack.Milliseconds())))
 		return
 	}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -42,6 +42,7 @@
 // Guest is one connection of a front, with what tells whether it may be closed.
 type Guest struct {
 	net.Conn
+	of    *Listener
 	mu    sync.Mutex
 	since time.Time // when it came, last sent a whole message or got its last answer
 	half  time.Time // when the unfinished message began that it now sends; zero: none
@@ -94,6 +95,12 @@
 	return g.open == 0 && g.half.IsZero() && (g.whole || time.Since(g.since) >= firstBy)
 }
 
+// leave notes that a drain closes the connection, as nothing is open on it.
+func (g *Guest) leave() { g.of.counts.left.Add(1) }
+
+// sentAway notes that a drain refused a request as it came.
+func (g *Guest) sentAway() { g.of.counts.away.Add(1) }
+
 // idleSince tells since when nothing is open on it; ok is false while something is.
 func (g *Guest) idleSince() (at time.Time, ok bool) {
 	g.mu.Lock()
@@ -112,7 +119,7 @@
 	guests map[*Guest]struct{}
 	active sync.WaitGroup
 	log    *slog.Logger
-	counts struct{ taken, closed atomic.Int64 }
+	counts struct{ taken, closed, left, away atomic.Int64 }
 	// stopping is set once no more connections are to be taken: what the backlog holds
 	// is still accepted, then the listener closes.
 	stopping atomic.Bool
@@ -150,8 +157,8 @@
 func (l *Listener) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return fmt.Sprintf("counters client_connections addr=%s open=%d limit=%d taken=%d closed_for_others=%d\n",
-		l.net.Addr(), len(l.guests), l.limit, l.counts.taken.Load(), l.counts.closed.Load())
+	return fmt.Sprintf("counters client_connections addr=%s open=%d limit=%d taken=%d closed_for_others=%d closed_leaving=%d sent_away=%d\n",
+		l.net.Addr(), len(l.guests), l.limit, l.counts.taken.Load(), l.counts.closed.Load(), l.counts.left.Load(), l.counts.away.Load())
 }
 
 // Addr is where it listens.
@@ -182,7 +189,7 @@
 			case <-time.After(roomEach):
 			}
 		}
-		g := &Guest{Conn: c, since: time.Now()}
+		g := &Guest{Conn: c, of: l, since: time.Now()}
 		l.counts.taken.Add(1)
 		l.mu.Lock()
 		l.guests[g] = struct{}{}
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -44,7 +44,7 @@
 	Pass  func() bool  // the answer to /v1/info: whether new clients are welcome
 	// Take and Leaving are the drain's, as on the other front: whether a statement that
 	// came whole then is taken, and whether a connection with nothing open is closed.
-	Take    func(time.Time) bool
+	Take    func(time.Time, time.Duration) bool
 	Leaving func() bool
 	In      *Budget       // what unfinished requests of all clients hold
 	Keep    time.Duration // how long an ended query can be read and its key is held
@@ -135,6 +135,7 @@
 	for ctx.Err() == nil {
 		leaving := f.Leaving != nil && f.Leaving()
 		if leaving && g.quiet() {
+			g.leave()
 			return
 		}
 		due := g.due(restIdle)
@@ -153,7 +154,7 @@
 		g.said(len(msgs) > 0, m.Held() > 0)
 		for _, msg := range msgs {
 			g.opened(1)
-			out, last := f.answer(ctx, msg, at)
+			out, last := f.answer(ctx, g, msg, at)
 			werr := l.write(context.WithoutCancel(ctx), out, time.Now().Add(restWrite))
 			g.opened(-1)
 			if werr != nil || last && err == nil {
@@ -187,10 +188,10 @@
 	}
 }
 
-func (f *RestClients) answer(ctx context.Context, msg any, at time.Time) (out []byte, last bool) {
+func (f *RestClients) answer(ctx context.Context, g *Guest, msg any, at time.Time) (out []byte, last bool) {
 	switch m := msg.(type) {
 	case rest.Statement:
-		return f.statement(ctx, m, at), m.Close
+		return f.statement(ctx, g, m, at), m.Close
 	case rest.Page:
 		return f.page(ctx, m), m.Close
 	case rest.Cancel:
@@ -210,7 +211,7 @@
 }
 
 // statement starts a query, or joins the one that the key names.
-func (f *RestClients) statement(ctx context.Context, m rest.Statement, at time.Time) []byte {
+func (f *RestClients) statement(ctx context.Context, g *Guest, m rest.Statement, at time.Time) []byte {
 	n, ok := f.Core.Class(m.Class)
 	if !ok {
 		return rest.Plain(400, "X-Trino-Source names no class of queries")
@@ -222,7 +223,8 @@
 	if class.Repeat == decide.RepeatOnce && m.Key == "" {
 		return rest.Plain(400, rest.HeaderKey+" is needed: this class must never run twice")
 	}
-	if f.Take != nil && !f.Take(at) {
+	if f.Take != nil && !f.Take(at, oncall.Expect(m.WorkMS, class.Threads, class.Aim)) {
+		g.sentAway()
 		return refusal(token(), oncall.ComeBack)
 	}
 	timeout := class.Deadline
