Test the drain on the REST front too; race runs of the program exit without the detector's wait

Need: a guard added to one front is checked in the other. Change: the REST front's readiness, idle close and late refusal are tested under PAUSE; the program started by the tests gets GORACE=atexit_sleep_ms=0, as the detector otherwise waits 1 s at exit and the hand-back test measured 4.5 s instead of 3.5 s.

--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -100,6 +100,7 @@
 
 	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
 	p.told("by_hand paused=false out=s-00000001:2\n")
+	require.Regexp(t, `engine name=s-00000001 id=\d+ addr=\S+ ready=false`, p.logged(), "the module holds it out too")
 	require.Equal(t, "ACK s-00000001 back, cold", p.tell("RESTORE s-00000001"))
 	require.Equal(t, "ACK s-00000001 was not out", p.tell("RESTORE s-00000001"))
 	// Back and cold, it gets its part again soon after: one call back answers both calls out.
--- a/cmd/aniseloft/rest_test.go
+++ b/cmd/aniseloft/rest_test.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -230,3 +234,40 @@
 		require.Equal(t, got[0], got[i], "rest engine, rest front: %v", way)
 	}
 }
+
+func TestRestFrontHeedsTheDrainToo(t *testing.T) {
+	t.Parallel()
+	p, _, _ := worldOn(t, filepath.Join(t.TempDir(), "record.db"))
+	info := func() string {
+		res, err := http.Get("http://" + p.rest + "/v1/info")
+		require.NoError(t, err)
+		defer res.Body.Close()
+		b, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		return string(b)
+	}
+	require.Contains(t, info(), `"starting":false`)
+	// A client that keeps its connection between calls.
+	keep, err := net.Dial("tcp", p.rest)
+	require.NoError(t, err)
+	defer keep.Close()
+	_, err = io.WriteString(keep, "GET /v1/info HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	r := bufio.NewReader(keep)
+	line, err := r.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "200")
+
+	require.Equal(t, "ACK paused", p.tell("PAUSE"))
+	require.NoError(t, keep.SetReadDeadline(time.Now().Add(due)))
+	_, err = io.ReadAll(r)
+	require.NoError(t, err, "the idle connection is closed at once")
+	require.Contains(t, info(), `"starting":true`, "not ready while paused")
+	time.Sleep(1700 * time.Millisecond)
+	refused := p.post("trip-lookup", "", "x")
+	require.Equal(t, 429, refused.status, "a statement after 1.6 s is sent away")
+	require.Equal(t, "1", refused.retry)
+	require.Equal(t, "ACK resumed", p.tell("RESUME"))
+	_, text := settle(t, p.post("trip-lookup", "", "x"))
+	require.Equal(t, "a\tb\tc\n", text)
+}
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -481,7 +481,8 @@
 	require.NoError(t, os.MkdirAll(tmp, 0o700))
 	p.Cmd = exec.Command(binary)
 	p.Dir, p.Stdout, p.Stderr = p.dir, p, p
-	p.Env = append(env, "LB_CONFIG="+filepath.Join(p.dir, "config.json"), "TMPDIR="+tmp)
+	// Built with the race detector, the program would wait a second at its exit for reports.
+	p.Env = append(env, "LB_CONFIG="+filepath.Join(p.dir, "config.json"), "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
 	require.NoError(t, p.Start())
 	t.Cleanup(func() {
 		if p.ProcessState == nil {
