REST front: a wake-up is no end; the drain test sees the idle close itself

Seen: breaking the REST front's idle close under a drain left its test green: a poke that woke the reader before the drain was seen ended the connection as if it timed out, so any connection of the REST front was closed on PAUSE whether quiet or not, also one with a message under way. Change: a read woken before the connection's own deadline loops and looks again; the test first shows the keep-alive connection stays open while serving, then closed by the drain. Measured: with the idle close broken the test now fails; restored, the suite passes.

--- a/cmd/aniseloft/rest_test.go
+++ b/cmd/aniseloft/rest_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -257,11 +258,21 @@
 	line, err := r.ReadString('\n')
 	require.NoError(t, err)
 	require.Contains(t, line, "200")
+	for len(line) > 2 { // the head, to the empty line
+		line, err = r.ReadString('\n')
+		require.NoError(t, err)
+	}
+	body := make([]byte, len(`{"starting":false,"coordinator":true}`))
+	_, err = io.ReadFull(r, body)
+	require.NoError(t, err)
+	require.NoError(t, keep.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "kept open while serving")
 
 	require.Equal(t, "ACK paused", p.tell("PAUSE"))
 	require.NoError(t, keep.SetReadDeadline(time.Now().Add(due)))
-	_, err = io.ReadAll(r)
-	require.NoError(t, err, "the idle connection is closed at once")
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the idle connection is closed at once")
 	require.Contains(t, info(), `"starting":true`, "not ready while paused")
 	time.Sleep(1700 * time.Millisecond)
 	refused := p.post("trip-lookup", "", "x")
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -143,8 +143,8 @@
 			due = look
 		}
 		b, err := l.read(ctx, due)
-		if err != nil && isTimeout(err) && leaving && time.Now().Before(g.due(restIdle)) {
-			continue
+		if err != nil && isTimeout(err) && time.Now().Before(g.due(restIdle)) {
+			continue // woken to look whether to go on, or its look came
 		}
 		if err != nil {
 			return
