Count the operators' callers among the program's own descriptors

Need: up to 32 admin connections came on top of every budget; with clients at their third and engines at theirs a crowd of callers could take the last descriptor from a dial. Change: one place for callers per 48 descriptors of the limit, 1 to 16; four fit in the room already kept, more are taken from the engines' budget.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -43,7 +43,12 @@
 	drainQuiet = 300 * time.Millisecond // nothing taken for so long
 	drainPoll  = 10 * time.Millisecond
 
-	ownDescriptors = 24 // standard streams, poller, listeners, journal, store and room
+	// Standard streams, poller, listeners, journal, store, the files in $TMPDIR (the live
+	// file, a lock, a state file being read or written) and room, in which the first
+	// operators' callers fit; more callers, a share of the limit, come on top.
+	ownDescriptors = 24
+	callersInOwn   = 4
+	adminShare     = 1.0 / 48
 	besideQueries  = 16 // connections to engines for cancels, priorities and probes
 	memoryShare    = 0.75
 	gcPercent      = 400
@@ -158,14 +163,16 @@
 		return err
 	}
 	clients := limits.Sockets / 3
+	callers := min(max(int(float64(limits.Sockets)*adminShare), 1), transport.AdminConnections)
+	own := ownDescriptors + max(callers-callersInOwn, 0)
 	restClients := 0
 	if restConf.Listen != "" {
 		restClients = clients / 4 // both fronts together keep to the clients' third
 	}
-	p.pool = transport.NewPool(limits.Sockets-clients-ownDescriptors, connect, idle)
+	p.pool = transport.NewPool(limits.Sockets-clients-own, connect, idle)
 	// Where all connections are out, each send would close one engine's idle connection to
 	// open another's: a dial for a query. Some are left idle.
-	s.MostOut = int(float64(limits.Sockets-clients-ownDescriptors-besideQueries) * outShare)
+	s.MostOut = int(float64(limits.Sockets-clients-own-besideQueries) * outShare)
 	s.MostOut = min(s.MostOut, int(p.memory(resultShare)/engine.MaxResult))
 	if p.core, err = routing.NewCore(s, p.conf.seed, transport.ByKind{Pool: p.pool, Kinds: s.KindNames,
 		Rest: restKinds(restConf), User: p.conf.Name}, p.log, int(p.memory(statementShare))); err != nil {
@@ -182,7 +189,7 @@
 	}
 	if p.conf.Admin != "" {
 		ops := &transport.Admin{Do: p.call, Log: p.log}
-		if p.admin, err = transport.Listen(p.conf.Admin, transport.AdminConnections, p.log, ops.Serve); err != nil {
+		if p.admin, err = transport.Listen(p.conf.Admin, callers, p.log, ops.Serve); err != nil {
 			return fmt.Errorf("admin: %w", err)
 		}
 	}
--- a/internal/transport/admin.go
+++ b/internal/transport/admin.go
@@ -15,8 +15,10 @@
 	// keep a connection 4 s without a whole call hold only a place of their own.
 	adminPatience = 5 * time.Second
 	adminWrite    = time.Second
-	// AdminConnections bounds the callers at a time; where more come, the oldest goes.
-	AdminConnections = 32
+	// AdminConnections bounds the callers at a time, however many descriptors there are;
+	// where more come, the oldest goes. The descriptors they hold are the program's own,
+	// kept apart from those of clients and engines.
+	AdminConnections = 16
 )
 
 // Admin is the operators' front on the second address: one call a connection.
