--- a/internal/oncall/drain.go
+++ b/internal/oncall/drain.go
@@ -54,14 +54,6 @@
 // On tells whether a drain by hand is on.
 func (d *Drain) On() bool { return d.on }
 
-// Since is when the drain by hand began; zero while none is on.
-func (d *Drain) Since() time.Time {
-	if !d.on {
-		return time.Time{}
-	}
-	return d.since
-}
-
 // Take tells whether a request that came whole at now, and is expected to take so long,
 // is taken; if not, it is refused with ComeBack. By hand nothing new is taken after
 // TakeFor; after SIGTERM what can end before the hand-back is taken, as its client is
--- a/internal/oncall/state.go
+++ b/internal/oncall/state.go
@@ -83,7 +83,3 @@
 	}
 	return true
 }
-
-// Follow puts this Hand's count past another's, so that what it writes next wins
-// over what that one wrote.
-func (h *Hand) Follow(seq uint64) { h.seq = max(h.seq, seq) }
