Quotas by class in deploy/rest.json; its schema; one package holds the file's rules

Need: the spool's ledger could bind each class, but the operators' file had no field for it, and the file's rules lived inside the coordinator where the operators' tool could not use them. Change: internal/restconf reads and checks deploy/rest.json (unknown fields refused; each fault names a JSON pointer and a mend); spool.class_mb by class name goes to the ledger's PerClass; schema/rest.schema.json describes the file; the shipped file names its schema.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"aniseloft/internal/protocol/engine"
+	"aniseloft/internal/restconf"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/spool"
 	"aniseloft/internal/store"
@@ -221,7 +222,7 @@
 
 // startRest opens the record and the second front; what an earlier process
 // left unfinished has ended before any client can ask for it.
-func (p *Program) startRest(ctx context.Context, c restConfig, limit int) error {
+func (p *Program) startRest(ctx context.Context, c restconf.Config, limit int) error {
 	sctx, cancel := context.WithTimeout(ctx, storeStart)
 	defer cancel()
 	var err error
@@ -240,7 +241,7 @@
 	return err
 }
 
-func restKinds(c restConfig) map[string]bool {
+func restKinds(c restconf.Config) map[string]bool {
 	m := map[string]bool{}
 	for _, k := range c.EngineKinds {
 		m[k] = true
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -3,10 +3,13 @@
 
 import _ "embed"
 
-// Scenario describes a day to rehearse; Plan an experiment.
+// Scenario describes a day to rehearse; Plan an experiment; Rest the paged REST front
+// and its spool, deploy/rest.json.
 var (
 	//go:embed scenario.schema.json
 	Scenario []byte
 	//go:embed plan.schema.json
 	Plan []byte
+	//go:embed rest.schema.json
+	Rest []byte
 )
