aniseloftctl check rest: the REST front's file against its schema and the coordinator's rules

Need: operators edit deploy/rest.json under pressure; a fault showed only when a coordinator refused to start. Measured: eight cases of the command line give the right code and message.

--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,108 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"aniseloft/internal/emulator/scenario"
+	"aniseloft/internal/restconf"
+	"aniseloft/internal/wire"
+	"aniseloft/schema"
+)
+
+func checks() *cobra.Command {
+	return group("check", "Check an operators' file before it is used", checkRest())
+}
+
+func checkRest() *cobra.Command {
+	var config string
+	var asJSON bool
+	c := &cobra.Command{Use: "rest [FILE]", Short: "Check deploy/rest.json against its schema and its rules", Args: cobra.MaximumNArgs(1),
+		Example: "  aniseloftctl check rest\n  aniseloftctl check rest deploy/rest.json --config /run/balancer/config.json --json",
+		Long: "Holds the file of the paged REST front and its spool against schema/rest.schema.json, then against the rules that " +
+			"the coordinator applies at its start. With --config, the kinds of engines and the classes are those of that " +
+			"configuration; without it they are not checked. Exit code 2 where anything is wrong; nothing is changed.",
+		RunE: func(c *cobra.Command, args []string) error {
+			file := restconf.File
+			if len(args) == 1 {
+				file = args[0]
+			}
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				return usage(fmt.Errorf("check: %w", err))
+			}
+			faults, err := restFaults(file, raw, config)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				if err := printJSON(c, map[string]any{"file": file, "faults": faults}); err != nil {
+					return err
+				}
+			} else {
+				for _, f := range faults {
+					_, _ = fmt.Fprintln(c.OutOrStdout(), f.Error())
+				}
+			}
+			if len(faults) > 0 {
+				return usage(fmt.Errorf("check: %s: %d faults", file, len(faults)))
+			}
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "%s: fine\n", file)
+			return nil
+		}}
+	c.Flags().StringVar(&config, "config", "", "the coordinator's configuration, for its kinds of engines and classes")
+	c.Flags().BoolVar(&asJSON, "json", false, "the faults as JSON")
+	return c
+}
+
+// restFaults is all that the schema and the coordinator's rules find wrong with a file.
+func restFaults(file string, raw []byte, config string) (scenario.Faults, error) {
+	var faults scenario.Faults
+	if err := scenario.Validate(file, raw, schema.Rest); err != nil {
+		if !errors.As(err, &faults) {
+			return nil, err
+		}
+		return faults, nil // the rules take a file of the right form
+	}
+	var kinds, classes []string
+	if config != "" {
+		var err error
+		if kinds, classes, err = configNames(config); err != nil {
+			return nil, usage(err)
+		}
+	}
+	if _, err := restconf.Parse(raw, kinds, classes); err != nil {
+		var f restconf.Fault
+		if !errors.As(err, &f) {
+			return nil, err
+		}
+		faults = append(faults, scenario.Fault{File: file, Pointer: f.Pointer, Problem: f.Problem, Mend: f.Mend})
+	}
+	return faults, nil
+}
+
+// configNames are the kinds of engines and the classes of a coordinator's configuration.
+func configNames(path string) (kinds, classes []string, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, fmt.Errorf("check: %w", err)
+	}
+	var c struct {
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return nil, nil, fmt.Errorf("check: %s: %w", path, err)
+	}
+	s, err := wire.Settings(c.Settings)
+	if err != nil {
+		return nil, nil, fmt.Errorf("check: %s: settings: %w", path, err)
+	}
+	for _, k := range s.Classes {
+		classes = append(classes, k.Name)
+	}
+	return s.KindNames, classes, nil
+}
--- /dev/null
+++ b/internal/ctl/check_test.go
@@ -0,0 +1,51 @@
+package ctl
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestCheckRestFindsFormAndRulesAndChangesNothing(t *testing.T) {
+	config := file(t, "config.json", `{"settings":{"balancers":1,"me":0,"tickMs":5,"zones":["a"],"machineTypes":["std-16"],
+		"lanes":[{"name":"trip-lookup","deadlineMs":2500,"promiseMs":500,"repeat":"repeatable","gain":1}]}}`)
+	typo := `{"listen":"","spool":{"total_mb":4,"clas_mb":{}}}`
+	bad := file(t, "bad.json", typo)
+	for _, one := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"check", "rest", "../../deploy/rest.json"}, ExitOK, "fine"},
+		{[]string{"check", "rest", "--help"}, ExitOK, "aniseloftctl check rest deploy/rest.json --config"},
+		{[]string{"check", "rest", bad}, ExitUsage, "bad.json: /spool: additional properties 'clas_mb' not allowed"},
+		{[]string{"check", "rest", file(t, "kinds.json", `{"engine_kinds":["gpu-8"]}`), "--config", config}, ExitUsage,
+			`/engine_kinds/0: "gpu-8" is not a kind of engine here; name one of [std-16]`},
+		{[]string{"check", "rest", file(t, "class.json", `{"spool":{"total_mb":4,"class_mb":{"trip-lookup":8}}}`)}, ExitUsage,
+			"/spool/class_mb/trip-lookup: not above 0, or above total_mb"},
+		{[]string{"check", "rest", file(t, "store.json", `{"listen":"127.0.0.1:9","keep_seconds":9}`)}, ExitUsage, "/store: missing"},
+		{[]string{"check", "rest", "/no/such.json"}, ExitUsage, "no such file"},
+		{[]string{"check", "rest", bad, "--config", "/no/such.json"}, ExitUsage, "clas_mb"},
+	} {
+		code, out, log := call(one.args...)
+		require.Equal(t, one.code, code, "%v: %s", one.args, log)
+		require.Contains(t, out+log, one.says, one.args)
+	}
+	code, out, _ := call("check", "rest", bad, "--json")
+	require.Equal(t, ExitUsage, code)
+	var got struct {
+		Faults []struct{ Pointer, Problem, Mend string }
+	}
+	require.NoError(t, json.Unmarshal([]byte(out), &got))
+	require.Len(t, got.Faults, 1)
+	require.Equal(t, "/spool", got.Faults[0].Pointer)
+	require.Equal(t, typo, readBack(t, bad), "the file is left as it was")
+}
+
+func readBack(t *testing.T, path string) string {
+	b, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return string(b)
+}
--- a/internal/restconf/restconf.go
+++ b/internal/restconf/restconf.go
@@ -59,10 +59,11 @@
 	return c, c.Check(kinds, classes)
 }
 
-// Check names the first thing that cannot be right.
+// Check names the first thing that cannot be right. Kinds and classes that are nil are
+// not known, and then not checked.
 func (c Config) Check(kinds, classes []string) error {
 	for i, k := range c.EngineKinds {
-		if !slices.Contains(kinds, k) {
+		if kinds != nil && !slices.Contains(kinds, k) {
 			return Fault{fmt.Sprintf("/engine_kinds/%d", i), fmt.Sprintf("%q is not a kind of engine here", k),
 				fmt.Sprintf("name one of %v", kinds)}
 		}
@@ -81,7 +82,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.ClassMB)) {
 		where := "/spool/class_mb/" + name
 		switch mb := s.ClassMB[name]; {
-		case !slices.Contains(classes, name):
+		case classes != nil && !slices.Contains(classes, name):
 			return Fault{where, fmt.Sprintf("%q is not a class here", name), fmt.Sprintf("name one of %v", classes)}
 		case !(mb > 0) || mb > s.TotalMB:
 			return Fault{where, "not above 0, or above total_mb", "leave the class out to let the total alone bind"}
