Idle engine connections stand past their last call's deadline instead of being redialled

Counters summed over the 80 coordinators: dialled=23000 reused=1082 stale=16171 expired=195.

Cause: quiet() in internal/transport/pool.go peeked at an idle connection through syscall.RawConn.Read. The poller refuses that once the read deadline of the last call (400 ms) has passed, without looking, and the refusal was counted as a close. Idle times of what was dropped: median 2.8 s, least 237 ms; 1,948 peeks in a row had said EAGAIN, so nothing had been closed. Harmless in a small fleet, where an engine is called several times a second; with 80 coordinators each pair of coordinator and engine rests for seconds. Ruled out: the engines' own idle close (0 closed as idle), the pool's limit (stolen=0), the 12 s idle limit (expired=195).

Mend: look by RawConn.Control, which heeds no deadline.

--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -324,6 +324,21 @@
 	p.told("class=trip-lookup taken=1 sent=1")
 }
 
+// A connection that idled longer than an answer may take (400 ms) was taken for closed, as its last
+// call's deadline had passed: at fleet scale, where seconds lie between two calls, nearly each was opened anew.
+func TestAConnectionThatIdlesLongerThanAnAnswerTakesIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	p, _, _ := world(t, false)
+	c := dial(t, p.listen)
+	for i := range 3 {
+		require.Contains(t, c.call(query(i+1, "trip-lookup", "x", 9000)), `"result"`)
+		time.Sleep(700 * time.Millisecond)
+	}
+	require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
+	p.told("counters engine_connections")
+	require.Regexp(t, `reused=[1-9]\d* stolen=0 expired=0 stale=0 `, p.logged())
+}
+
 // What the module holds true of load was nowhere to be compared with what the sockets carry.
 func TestSIGUSR1ShowsTheModulesBeliefsBesideTheSockets(t *testing.T) {
 	t.Parallel()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -255,7 +255,9 @@
 
 // quiet tells whether an idle connection still stands: neither closed by the
 // other side nor with bytes that no call asked for. What it can't see is a
-// close that is still on its way.
+// close that is still on its way. It looks by Control, as Read would refuse a
+// connection whose last call's deadline has passed, and so every one that idled
+// longer than an answer may take.
 func quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -266,11 +268,10 @@
 		return false
 	}
 	stands := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		stands = errors.Is(rerr, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && stands
 }
