Log a line for each request, attempt, probe and dial where deploy/log.json asks for it

Change: deploy/log.json (level, counters_every_ms) with schema/log.schema.json, aniseloftctl check log and a process test; off without the file. Both kinds of engines pass the same pool, so dials are logged in one place.

--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"syscall"
@@ -339,6 +340,27 @@
 	require.Regexp(t, `reused=[1-9]\d* stolen=0 expired=0 stale=0 `, p.logged())
 }
 
+func TestTheLogFileAddsALineForEachRequestAndABadOneStopsTheStart(t *testing.T) {
+	t.Parallel()
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	dir := t.TempDir()
+	require.NoError(t, os.MkdirAll(filepath.Join(dir, "deploy"), 0o700))
+	at := filepath.Join(dir, "deploy", "log.json")
+	require.NoError(t, os.WriteFile(at, []byte(`{"level":"debug","counters_every_ms":100}`), 0o600))
+	p := run(t, dir, j, false)
+	dial(t, p.listen).call(query(1, "trip-lookup", "x", 9000))
+	for _, line := range []string{"msg=listed engine=s-00000001 state=1", "msg=taken ", "msg=probed engine=s-00000001 outcome=served",
+		"msg=dialled engine=s-00000001", "msg=sent ", "class=0 attempt=0 engine=s-00000001 outcome=served", "kind=served attempts=1", "counters class=trip-lookup taken=1"} {
+		p.told(line)
+	}
+	p.kill()
+	require.NoError(t, os.WriteFile(at, []byte(`{"counters_every_ms":5}`), 0o600))
+	out, err := again(p).CombinedOutput()
+	require.Error(t, err)
+	require.Equal(t, "aniseloft: deploy/log.json: /counters_every_ms: 5 is neither 0 nor at least 100; 0 prints them on SIGUSR1 and at exit only\n", string(out))
+}
+
 // What the module holds true of load was nowhere to be compared with what the sockets carry.
 func TestSIGUSR1ShowsTheModulesBeliefsBesideTheSockets(t *testing.T) {
 	t.Parallel()
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -9,25 +9,45 @@
 	"github.com/spf13/cobra"
 
 	"aniseloft/internal/emulator/scenario"
+	"aniseloft/internal/logconf"
 	"aniseloft/internal/restconf"
 	"aniseloft/internal/wire"
 	"aniseloft/schema"
 )
 
 func checks() *cobra.Command {
-	return group("check", "Check an operators' file before it is used", checkRest())
+	return group("check", "Check an operators' file before it is used", checkRest(), checkLog())
 }
 
 func checkRest() *cobra.Command {
 	var config string
+	c := checkFile("rest", restconf.File, func(file string, raw []byte) (scenario.Faults, error) {
+		return restFaults(file, raw, config)
+	})
+	c.Example = "  aniseloftctl check rest\n  aniseloftctl check rest deploy/rest.json --config /run/balancer/config.json --json"
+	c.Long = "Holds the file of the paged REST front and its spool against schema/rest.schema.json, then against the rules that " +
+		"the coordinator applies at its start. With --config, the kinds of engines and the classes are those of that " +
+		"configuration; without it they are not checked. Exit code 2 where anything is wrong; nothing is changed."
+	c.Flags().StringVar(&config, "config", "", "the coordinator's configuration, for its kinds of engines and classes")
+	return c
+}
+
+func checkLog() *cobra.Command {
+	c := checkFile("log", logconf.File, func(file string, raw []byte) (scenario.Faults, error) {
+		return formFaults(file, raw, schema.Log)
+	})
+	c.Example = "  aniseloftctl check log\n  aniseloftctl check log deploy/log.json --json"
+	c.Long = "Holds the file of what the coordinator logs against schema/log.schema.json. Exit code 2 where anything is wrong; " +
+		"nothing is changed."
+	return c
+}
+
+// checkFile is the command that prints what faults finds wrong with an operators' file.
+func checkFile(name, usual string, faults func(file string, raw []byte) (scenario.Faults, error)) *cobra.Command {
 	var asJSON bool
-	c := &cobra.Command{Use: "rest [FILE]", Short: "Check deploy/rest.json against its schema and its rules", Args: cobra.MaximumNArgs(1),
-		Example: "  aniseloftctl check rest\n  aniseloftctl check rest deploy/rest.json --config /run/balancer/config.json --json",
-		Long: "Holds the file of the paged REST front and its spool against schema/rest.schema.json, then against the rules that " +
-			"the coordinator applies at its start. With --config, the kinds of engines and the classes are those of that " +
-			"configuration; without it they are not checked. Exit code 2 where anything is wrong; nothing is changed.",
+	c := &cobra.Command{Use: name + " [FILE]", Short: "Check " + usual + " against its schema and its rules", Args: cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			file := restconf.File
+			file := usual
 			if len(args) == 1 {
 				file = args[0]
 			}
@@ -35,42 +55,46 @@
 			if err != nil {
 				return usage(fmt.Errorf("check: %w", err))
 			}
-			faults, err := restFaults(file, raw, config)
+			found, err := faults(file, raw)
 			if err != nil {
 				return err
 			}
 			if asJSON {
-				if err := printJSON(c, map[string]any{"file": file, "faults": faults}); err != nil {
+				if err := printJSON(c, map[string]any{"file": file, "faults": found}); err != nil {
 					return err
 				}
 			} else {
-				for _, f := range faults {
+				for _, f := range found {
 					_, _ = fmt.Fprintln(c.OutOrStdout(), f.Error())
 				}
 			}
-			if len(faults) > 0 {
-				return usage(fmt.Errorf("check: %s: %d faults", file, len(faults)))
+			if len(found) > 0 {
+				return usage(fmt.Errorf("check: %s: %d faults", file, len(found)))
 			}
 			_, _ = fmt.Fprintf(c.ErrOrStderr(), "%s: fine\n", file)
 			return nil
 		}}
-	c.Flags().StringVar(&config, "config", "", "the coordinator's configuration, for its kinds of engines and classes")
 	c.Flags().BoolVar(&asJSON, "json", false, "the faults as JSON")
 	return c
 }
 
+// formFaults is what a schema finds wrong with a file.
+func formFaults(file string, raw, schemaText []byte) (scenario.Faults, error) {
+	var faults scenario.Faults
+	if err := scenario.Validate(file, raw, schemaText); err != nil && !errors.As(err, &faults) {
+		return nil, err
+	}
+	return faults, nil
+}
+
 // restFaults is all that the schema and the coordinator's rules find wrong with a file.
 func restFaults(file string, raw []byte, config string) (scenario.Faults, error) {
-	var faults scenario.Faults
-	if err := scenario.Validate(file, raw, schema.Rest); err != nil {
-		if !errors.As(err, &faults) {
-			return nil, err
-		}
-		return faults, nil // the rules take a file of the right form
+	faults, err := formFaults(file, raw, schema.Rest)
+	if err != nil || len(faults) > 0 {
+		return faults, err // the rules take a file of the right form
 	}
 	var kinds, classes []string
 	if config != "" {
-		var err error
 		if kinds, classes, err = configNames(config); err != nil {
 			return nil, usage(err)
 		}
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -26,6 +26,9 @@
 		{[]string{"check", "rest", file(t, "class.json", `{"spool":{"total_mb":4,"class_mb":{"trip-lookup":8}}}`)}, ExitUsage,
 			"/spool/class_mb/trip-lookup: not above 0, or above total_mb"},
 		{[]string{"check", "rest", file(t, "store.json", `{"listen":"127.0.0.1:9","keep_seconds":9}`)}, ExitUsage, "/store: missing"},
+		{[]string{"check", "log", file(t, "log.json", `{"level":"debug","counters_every_ms":5000}`)}, ExitOK, "fine"},
+		{[]string{"check", "log", file(t, "log.json", `{"level":"loud"}`)}, ExitUsage, "/level: value must be one of 'info', 'debug'"},
+		{[]string{"check", "log", file(t, "log.json", `{"counters_every_ms":5}`)}, ExitUsage, "/counters_every_ms"},
 		{[]string{"check", "rest", "/no/such.json"}, ExitUsage, "no such file"},
 		{[]string{"check", "rest", bad, "--config", "/no/such.json"}, ExitUsage, "clas_mb"},
 	} {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -4,12 +4,14 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"strconv"
 
 	jsoniter "github.com/json-iterator/go"
 
 	"aniseloft/decide"
+	"aniseloft/internal/logconf"
 	"aniseloft/internal/protocol/journal"
 	"aniseloft/internal/wire"
 )
@@ -78,3 +80,15 @@
 	}
 	return &c, nil
 }
+
+// loadLog reads what is to be logged; where there is no file, only what on-call staff need.
+func loadLog() (logconf.Config, error) {
+	raw, err := os.ReadFile(logconf.File)
+	if errors.Is(err, fs.ErrNotExist) {
+		return logconf.Config{}, nil
+	}
+	if err != nil {
+		return logconf.Config{}, fmt.Errorf("%s: %w", logconf.File, err)
+	}
+	return logconf.Parse(raw)
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"aniseloft/internal/logconf"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/restconf"
 	"aniseloft/internal/routing"
@@ -65,20 +66,22 @@
 
 // Program is one coordinator.
 type Program struct {
-	phase  atomic.Int32
-	since  time.Time // when it entered the phase
-	conf   *config
-	log    *slog.Logger
-	errOut io.Writer
-	core   *routing.Core
-	roster *transport.Roster
-	front  *transport.Listener
-	pool   *transport.Pool
-	stop   context.CancelFunc
-	admin  *transport.Listener // nil where there is no second address
-	drain  drain
-	state  *stateFile
-	live   *live
+	phase    atomic.Int32
+	since    time.Time // when it entered the phase
+	conf     *config
+	logConf  logconf.Config
+	log      *slog.Logger
+	logLevel *slog.LevelVar
+	errOut   io.Writer
+	core     *routing.Core
+	roster   *transport.Roster
+	front    *transport.Listener
+	pool     *transport.Pool
+	stop     context.CancelFunc
+	admin    *transport.Listener // nil where there is no second address
+	drain    drain
+	state    *stateFile
+	live     *live
 
 	// The second front; nil where it is off.
 	rest      *transport.RestClients
@@ -89,7 +92,8 @@
 
 // Run is the whole life of the program; it returns the exit code.
 func Run(errOut io.Writer) int {
-	p := &Program{errOut: errOut, log: slog.New(slog.NewTextHandler(errOut, nil))}
+	p := &Program{errOut: errOut, logLevel: new(slog.LevelVar)}
+	p.log = slog.New(slog.NewTextHandler(errOut, &slog.HandlerOptions{Level: p.logLevel}))
 	// Each kind of signal has a place of its own, from before the start: what comes early waits,
 	// and a burst of one kind can't crowd out another.
 	end, reload, print := notified(syscall.SIGTERM, syscall.SIGINT), notified(syscall.SIGHUP), notified(syscall.SIGUSR1)
@@ -100,6 +104,12 @@
 	p.enter(Serving)
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
+	var counters <-chan time.Time // nil: never
+	if every := p.logConf.Every(); every > 0 {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		counters = t.C
+	}
 	for p.Phase() != Stopped {
 		select {
 		case <-end: // a second one changes nothing
@@ -111,6 +121,8 @@
 			p.reload()
 		case <-print:
 			p.print()
+		case <-counters:
+			p.printCounters()
 		case <-tick.C:
 			if p.drained() {
 				p.close()
@@ -143,6 +155,10 @@
 	if p.conf, err = load(); err != nil {
 		return err
 	}
+	if p.logConf, err = loadLog(); err != nil {
+		return err
+	}
+	p.logLevel.Set(p.logConf.Level)
 	limits := p.conf.Limits
 	// What is live is small beside the limit: collecting at each doubling of it would
 	// spend a good part of the one core. The limit makes collection frequent when it must be.
@@ -170,7 +186,7 @@
 	if restConf.Listen != "" {
 		restClients = clients / 4 // both fronts together keep to the clients' third
 	}
-	p.pool = transport.NewPool(limits.Sockets-clients-own, connect, idle)
+	p.pool = transport.NewPool(limits.Sockets-clients-own, connect, idle, p.log)
 	// Where all connections are out, each send would close one engine's idle connection to
 	// open another's: a dial for a query. Some are left idle.
 	s.MostOut = int(float64(limits.Sockets-clients-own-besideQueries) * outShare)
@@ -300,7 +316,12 @@
 
 // print writes the counters and what the module holds true of each engine.
 func (p *Program) print() {
-	text := p.core.Beliefs() + p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall()
+	_, _ = io.WriteString(p.errOut, p.core.Beliefs())
+	p.printCounters()
+}
+
+func (p *Program) printCounters() {
+	text := p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall()
 	if p.restFront != nil {
 		text += p.restFront.String()
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -65,6 +65,14 @@
 	outcome decide.Outcome // once over
 }
 
+// name is the engine's for the log.
+func (t *attempt) name() string {
+	if t.engine == nil {
+		return "gone"
+	}
+	return t.engine.Name
+}
+
 // mayHaveRun tells whether any attempt of a request may have run at its engine.
 func (r *request) mayHaveRun() bool {
 	for _, t := range r.attempts {
@@ -219,6 +227,7 @@
 	c.requests[id], c.calls[q.Call] = r, struct{}{}
 	c.room -= len(q.Statement)
 	left := time.Until(q.Deadline)
+	c.log.Debug("taken", "call", q.Call, "class", q.Class, "left_ms", left.Milliseconds(), "work_ms", q.Work)
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
 	c.handle(decide.Arrived{ID: id, Class: q.Class, Group: Group(string(q.Statement)),
@@ -263,6 +272,7 @@
 	}
 	f := r.front
 	c.Counts.answered(r.query.Class, a.Kind)
+	c.log.Debug("answered", "call", r.query.Call, "class", r.query.Class, "kind", a.Kind.String(), "attempts", len(r.attempts), "why", a.Why)
 	c.close(r)
 	f.Answer(a)
 }
@@ -366,6 +376,7 @@
 	r.attempts = append(r.attempts, t)
 	r.running++
 	c.Counts.sent(r.query.Class)
+	c.log.Debug("sent", "call", r.query.Call, "class", r.query.Class, "attempt", n, "engine", t.name(), "timeout_ms", timeout.Milliseconds())
 	if e == nil || r.front == nil {
 		// Not by post: the core's goroutine must never wait for its own inbox.
 		c.after = append(c.after, func() { c.ended(r, n, a.Engine, Result{Outcome: decide.OutcomeNotSent}) })
@@ -419,11 +430,11 @@
 	c.Counts.ended(r.query.Class, res.Outcome)
 	if res.Outcome == decide.OutcomeServed {
 		c.answer(r, Answer{Kind: Served, Body: res.Body, Streamed: res.Streamed})
-	} else if res.Why != "" {
-		c.log.Debug("attempt ended", "call", r.query.Call, "outcome", int(res.Outcome), "why", res.Why)
 	}
-	c.handle(decide.AttemptEnded{ID: r.id, Attempt: n, Engine: id, Outcome: res.Outcome,
-		Latency: float64(time.Since(t.at).Microseconds()) / 1000, Closed: r.front == nil,
+	took := float64(time.Since(t.at).Microseconds()) / 1000
+	c.log.Debug("ended", "call", r.query.Call, "class", r.query.Class, "attempt", n, "engine", t.name(),
+		"outcome", outcomeNames[res.Outcome], "ms", took, "work_ms", res.Work, "why", res.Why)
+	c.handle(decide.AttemptEnded{ID: r.id, Attempt: n, Engine: id, Outcome: res.Outcome, Latency: took, Closed: r.front == nil,
 		Work: res.Work, MemoryMB: res.MemoryMB, Load: res.Load})
 	c.forget(r)
 }
@@ -441,8 +452,13 @@
 		defer cancel()
 		o, load := way.Probe(ctx)
 		c.post(func() {
-			c.handle(decide.ProbeEnded{Engine: id, Outcome: o, Load: load,
-				Latency: float64(time.Since(at).Microseconds()) / 1000})
+			took := float64(time.Since(at).Microseconds()) / 1000
+			inFlight := -1.0
+			if load != nil {
+				inFlight = load.InFlight
+			}
+			c.log.Debug("probed", "engine", e.Name, "outcome", outcomeNames[o], "ms", took, "inflight", inFlight)
+			c.handle(decide.ProbeEnded{Engine: id, Outcome: o, Load: load, Latency: took})
 		})
 	}()
 }
@@ -457,6 +473,7 @@
 	ev := decide.ListChanged{Kind: kind}
 	named := map[decide.EngineID]bool{}
 	for _, m := range members {
+		c.log.Debug("listed", "engine", m.Name, "state", int(m.State), "started_ms", m.Started, "zone", m.Zone)
 		ev.Entries = append(ev.Entries, c.member(m))
 		named[m.ID] = true
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/textproto"
 	"slices"
@@ -58,6 +59,7 @@
 	connect time.Duration
 	maxIdle time.Duration
 	idle    map[*lane]struct{}
+	log     *slog.Logger
 	counts  struct{ dialled, reused, stolen, expired, stale, spent, resumed atomic.Int64 }
 }
 
@@ -74,6 +76,7 @@
 // address, so connections belong to an engine and never to an address.
 type lane struct {
 	pool   *Pool
+	name   string // of its engine, for the log
 	addr   string
 	idle   []*link
 	held   int // connections, idle or not
@@ -88,12 +91,12 @@
 }
 
 // NewPool returns a pool that opens at most limit connections.
-func NewPool(limit int, connect, maxIdle time.Duration) *Pool {
-	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, idle: map[*lane]struct{}{}}
+func NewPool(limit int, connect, maxIdle time.Duration, log *slog.Logger) *Pool {
+	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, log: log, idle: map[*lane]struct{}{}}
 }
 
-func (p *Pool) lane(addr string) *lane {
-	l := &lane{pool: p, addr: addr}
+func (p *Pool) lane(name, addr string) *lane {
+	l := &lane{pool: p, name: name, addr: addr}
 	p.mu.Lock()
 	p.idle[l] = struct{}{}
 	p.mu.Unlock()
@@ -190,6 +193,7 @@
 		defer cancel()
 		c, err = d.DialContext(again, "tcp", l.addr)
 	}
+	l.pool.log.Debug("dialled", "engine", l.name, "ms", time.Since(began).Milliseconds(), "err", err)
 	if err != nil {
 		l.release()
 		return nil, err
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -21,7 +21,7 @@
 
 // Engine is the way to one engine.
 func (d ByKind) Engine(m routing.Member) routing.Engine {
-	p := &paged{addr: m.Addr, lane: d.Pool.lane(m.Addr)}
+	p := &paged{addr: m.Addr, lane: d.Pool.lane(m.Name, m.Addr)}
 	if m.Kind < len(d.Kinds) && d.Rest[d.Kinds[m.Kind]] {
 		return &restEngine{paged: p, user: d.User}
 	}
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -4,7 +4,7 @@
 import _ "embed"
 
 // Scenario describes a day to rehearse; Plan an experiment; Rest the paged REST front
-// and its spool, deploy/rest.json.
+// and its spool, deploy/rest.json; Log what the coordinator logs, deploy/log.json.
 var (
 	//go:embed scenario.schema.json
 	Scenario []byte
@@ -12,4 +12,6 @@
 	Plan []byte
 	//go:embed rest.schema.json
 	Rest []byte
+	//go:embed log.schema.json
+	Log []byte
 )
