Dear probes are asked for long queries first, which make nearly all of the load

Checked and ruled out: probes lost or late (of 2,295, 40 unanswered); reports that do not act (a fresh one keeps long queries off). Fault: asks() in decide/decide.go took what the price allows for whichever query came. Now, where that is less than one probe a query, long classes come first and short ones use what is over. Moved to decide/state.go: what is learned of classes and engines, which decides nothing. Tried and not kept: a cold engine's budget whole to one gateway a span, alone: no gain, as jams elsewhere come first.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -86,14 +86,6 @@
 	return g, nil
 }
 
-// lengths tells long classes by the work told of them: an aim's base may be short, its stretch the rest.
-func (g *Gateway) lengths() {
-	least := slices.MinFunc(g.classes, func(a, b *class) int { return cmp.Compare(a.usual, b.usual) }).usual
-	for _, c := range g.classes {
-		c.long = c.usual > longRatio*least
-	}
-}
-
 // Handle takes one event and returns what is to be done, in order.
 func (g *Gateway) Handle(now Millis, ev Event) []Action {
 	g.now, g.acts = now, nil
@@ -209,52 +201,6 @@
 	return g.expect(r) / float64(c.Threads)
 }
 
-func (g *Gateway) learn(r *request, e *engine, ev AttemptEnded) {
-	c := g.classes[r.Class]
-	threads := float64(c.Threads)
-	c.samples++
-	rate := max(learnRate, 1/float64(c.samples))
-	work := ev.Work
-	if work > 0 && r.Cost > 0 {
-		blend(&c.bias, min(work/r.Cost, outlierCap*c.bias), rate)
-		if ev.MemoryMB > 0 && r.MemoryMB > 0 {
-			blend(&c.memBias, min(ev.MemoryMB/r.MemoryMB, outlierCap*c.memBias), rate)
-		}
-	}
-	lat := math.Log(max(ev.Latency, 0.1))
-	blend(&c.logLat, lat, max(bestRate, 1/float64(c.samples)))
-	if float64(c.samples) < 1/learnRate || c.logLat < c.bestLog {
-		c.bestLog = c.logLat
-	}
-	blend(&c.bestLog, c.logLat, forgetRate)
-	base := math.Log(g.unloaded(r))
-	if work > 0 {
-		base = math.Log(work / threads)
-	} else {
-		work = ev.Latency * threads // too dear under strain, which is the safe side for cold engines
-	}
-	blend(&c.work, min(work, outlierCap*c.work), max(learnRate, 1/float64(c.samples+priorSamples)))
-	g.held, g.heldThreads = g.held*(1-learnRate)+ev.Latency, g.heldThreads*(1-learnRate)+ev.Latency*threads
-	g.meanThreads = g.heldThreads / max(g.held, 1)
-	g.strained(e, lat-base)
-}
-
-// strained takes one piece of evidence of how far the engine is over its best.
-func (g *Gateway) strained(e *engine, x float64) {
-	if g.now-g.wokeAt >= g.ticks(graceTicks) {
-		e.slow.add(x, stretchRate, g.now, evidenceAims*g.beat)
-		g.slow.add(x, stretchRate, g.now, evidenceAims*g.beat)
-	}
-}
-
-// strain is the engine's log latency over its best, fading with age. Thin evidence
-// is filled up with the fleet's, and that with none.
-func (e *engine) strain(g *Gateway) float64 {
-	all, n := g.slow.left(g.now, evidenceAims*g.beat)
-	own, m := e.slow.left(g.now, evidenceAims*g.beat)
-	return (own + poolSamples*all/(n+poolSamples)) / (m + poolSamples)
-}
-
 // pressed tells whether the class bounds bind at the engine: latency well over its best, a full refusal, or
 // a busy report: the peers' with this gateway's own work out, as latency alone tells too late of a burst.
 func (g *Gateway) pressed(e *engine) bool {
@@ -463,17 +409,6 @@
 // thin tells whether less than a query is out for each engine: too little to tell load.
 func (g *Gateway) thin() bool { return g.out < len(g.order) }
 
-// known tells whether the engine's own report is fresh, from an answer or a peer.
-func (e *engine) known(g *Gateway) bool {
-	return e.report.InFlight >= 0 && g.now-e.reportAt < knownAims*g.beat
-}
-
-// lately is the load where too little is out to tell of any: queries out there, and of the latest few.
-func (e *engine) lately(g *Gateway) float64 {
-	age := float64(g.sends-e.sentSeq) / (latelyEach * float64(len(g.order)))
-	return float64(len(e.out)) + e.sent*math.Exp(-age)
-}
-
 func (g *Gateway) arrived(ev Arrived) {
 	if ev.Class < 0 || ev.Class >= len(g.classes) {
 		g.do(Fail{ev.ID})
@@ -483,7 +418,7 @@
 	r := &request{Arrived: ev, seq: g.seq, at: g.now, deadline: g.now + ev.Left, mayRunAt: never,
 		draw: g.rng.Float64()}
 	g.requests[ev.ID] = r
-	g.asksLeft = min(g.asksLeft+askSpend/max(g.set.ProbePrice, askSpend/askMost), 2*askMost)
+	g.asksLeft = min(g.asksLeft+g.asksEach(), 2*askMost)
 	if g.anew = min(g.anew+anewShare, anewMost); g.set.Rules.Rationed {
 		g.taken = append(g.taken, g.now) // cut where rations are counted, and kept for nothing else
 	}
@@ -939,13 +874,19 @@
 }
 
 // asks has the first engines of a query's order probed where this gateway's own traffic is too
-// thin to tell what they hold, as often as the price allows; the query waits for their word.
+// thin to tell what they hold, as often as the price allows; the query waits for their word. Where
+// that is not once a query, long ones come first, as they are nearly all of the load, and short
+// ones take what is over.
 func (g *Gateway) asks(r *request, l []*engine) bool {
 	if !g.set.MayProbe || !g.set.Reports || !g.thin() || g.ending(r) {
 		return false
 	}
 	if r.asked == nil {
-		r.asked = l[:min(len(l), int(min(askMost, g.asksLeft)))]
+		most := min(askMost, g.asksLeft)
+		if !g.classes[r.Class].long && g.asksEach() < 1 {
+			most = min(askMost, max(g.asksLeft-askMost, 0))
+		}
+		r.asked = l[:min(len(l), int(most))]
 		for _, e := range r.asked {
 			if !e.probing && g.now-e.probedAt > askFresh*g.beat {
 				g.asksLeft--
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1081,6 +1081,34 @@
 	}
 }
 
+// Where probes are dear, short queries used them up: of 80 gateways' reports most went to engines with 40 and
+// more in flight, unasked. Long queries have nearly all that the price allows.
+func TestDearProbesAreForLongQueries(t *testing.T) {
+	set := plainSettings()
+	set.Gateways, set.MayProbe, set.Reports, set.ProbePrice = 80, true, true, 0.08
+	s := newScript(t, set, 30)
+	var asked [2]int
+	for i := range 500 {
+		id, now, class := RequestID(fmt.Sprint("p", i)), float64(150*i), 0
+		if i%5 == 4 {
+			class = 1
+		}
+		s.at(now, Arrived{ID: id, Class: class, Group: uint64(i % 72), Left: 3000})
+		for _, a := range s.acts {
+			if p, ok := a.(Probe); ok {
+				asked[class]++
+				s.at(now+1, ProbeEnded{Engine: p.Engine, Outcome: OutcomeServed, Load: &Load{}})
+			}
+		}
+		if r := s.g.requests[id]; r != nil && r.on != nil {
+			s.at(now+2, AttemptEnded{ID: id, Engine: r.on.ID, Outcome: OutcomeServed, Latency: 5, Closed: true})
+		}
+	}
+	if asked[0] > asked[1]/10 || asked[1] < 50 {
+		t.Fatalf("%d probes for 400 short queries, %d for 100 long ones", asked[0], asked[1])
+	}
+}
+
 // planhuis-utrecht, full size: a brand's part of 0.25 queries a second filled a bucket of half a
 // query, so all it sent passed for more than its share (4f514711).
 func TestSmallPartsOfAnAllowanceHoldWholeQueries(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -266,6 +267,76 @@
 	return l
 }
 
+func (g *Gateway) learn(r *request, e *engine, ev AttemptEnded) {
+	c := g.classes[r.Class]
+	threads := float64(c.Threads)
+	c.samples++
+	rate := max(learnRate, 1/float64(c.samples))
+	work := ev.Work
+	if work > 0 && r.Cost > 0 {
+		blend(&c.bias, min(work/r.Cost, outlierCap*c.bias), rate)
+		if ev.MemoryMB > 0 && r.MemoryMB > 0 {
+			blend(&c.memBias, min(ev.MemoryMB/r.MemoryMB, outlierCap*c.memBias), rate)
+		}
+	}
+	lat := math.Log(max(ev.Latency, 0.1))
+	blend(&c.logLat, lat, max(bestRate, 1/float64(c.samples)))
+	if float64(c.samples) < 1/learnRate || c.logLat < c.bestLog {
+		c.bestLog = c.logLat
+	}
+	blend(&c.bestLog, c.logLat, forgetRate)
+	base := math.Log(g.unloaded(r))
+	if work > 0 {
+		base = math.Log(work / threads)
+	} else {
+		work = ev.Latency * threads // too dear under strain, which is the safe side for cold engines
+	}
+	blend(&c.work, min(work, outlierCap*c.work), max(learnRate, 1/float64(c.samples+priorSamples)))
+	g.held, g.heldThreads = g.held*(1-learnRate)+ev.Latency, g.heldThreads*(1-learnRate)+ev.Latency*threads
+	g.meanThreads = g.heldThreads / max(g.held, 1)
+	g.strained(e, lat-base)
+}
+
+// strained takes one piece of evidence of how far the engine is over its best.
+func (g *Gateway) strained(e *engine, x float64) {
+	if g.now-g.wokeAt >= g.ticks(graceTicks) {
+		e.slow.add(x, stretchRate, g.now, evidenceAims*g.beat)
+		g.slow.add(x, stretchRate, g.now, evidenceAims*g.beat)
+	}
+}
+
+// strain is the engine's log latency over its best, fading with age. Thin evidence
+// is filled up with the fleet's, and that with none.
+func (e *engine) strain(g *Gateway) float64 {
+	all, n := g.slow.left(g.now, evidenceAims*g.beat)
+	own, m := e.slow.left(g.now, evidenceAims*g.beat)
+	return (own + poolSamples*all/(n+poolSamples)) / (m + poolSamples)
+}
+
+// known tells whether the engine's own report is fresh, from an answer or a peer.
+func (e *engine) known(g *Gateway) bool {
+	return e.report.InFlight >= 0 && g.now-e.reportAt < knownAims*g.beat
+}
+
+// lately is the load where too little is out to tell of any: queries out there, and of the latest few.
+func (e *engine) lately(g *Gateway) float64 {
+	age := float64(g.sends-e.sentSeq) / (latelyEach * float64(len(g.order)))
+	return float64(len(e.out)) + e.sent*math.Exp(-age)
+}
+
+// lengths tells long classes by the work told of them: an aim's base may be short, its stretch the rest.
+func (g *Gateway) lengths() {
+	least := slices.MinFunc(g.classes, func(a, b *class) int { return cmp.Compare(a.usual, b.usual) }).usual
+	for _, c := range g.classes {
+		c.long = c.usual > longRatio*least
+	}
+}
+
+// asksEach is the probes that each query earns at their price.
+func (g *Gateway) asksEach() float64 {
+	return askSpend / max(g.set.ProbePrice, askSpend/askMost)
+}
+
 // Beliefs are what the gateway holds true of each engine.
 func (g *Gateway) Beliefs(now Millis) []Belief {
 	g.now = now
