Gateways take turns at a cold engine's budget, so that it carries long queries too

Fault: coldRoom in decide/decide.go gave half the budget to one gateway, for good, and split the rest evenly; 1/160 of it is 84 ms of work, which holds no report (4 s), and the lottery for parts too small was for short queries only. One gateway in 80 sees a fraction of the reports that its half would hold. Ruled out: the list (told 1.7 to 2.8 s after the start), health (none ejected), room at the engine (reports in flight 1 to 5). Mend: gateways take turns of a span, one at a time or two where half the budget holds the dearest class's query; a turn begins at a time of each engine's own. Half the budget is kept for the two turns that a span can meet. In thin traffic the gateway whose turn it is sends there first, and what an engine could not get while cold is not owed to it once warm (it got 1.5 parts in the next seconds). Test: 80 gateways against one cold engine: long queries get there, and no span holds more than it can bear; 0 long queries without.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,8 +31,7 @@
 	stretchRate   = 0.1   // weight of one sample in latency evidence
 	poolSamples   = 4.0   // of the fleet's evidence that fill up an engine's own
 	outlierCap    = 8.0   // samples count as at most this many times the mean
-	coldSafety    = 0.5   // share of the fall-over budget used: slow machines, other gateways' stale views
-	coldOwner     = 0.5   // part of that budget that one gateway alone may use
+	coldSafety    = 0.5   // share of the fall-over budget used: any span meets two turns
 	usableCores   = 0.85  // capacity is reached with cores this busy
 	graceTicks    = 10.0  // housekeeping period, in ticks of the site
 	trialAims     = 3.0   // an ejection lasts so many of the shortest aim: trials are cheap
@@ -163,8 +162,8 @@
 	}
 	g.index()
 	for _, e := range g.order {
-		if e.sent == never { // a new engine starts as if it had got its part
-			e.sent = latelyEach * e.cores * float64(len(g.order)) / g.cores
+		if e.sent == never { // else all would send to a new engine at once
+			g.gotPart(e)
 		}
 	}
 	g.pump()
@@ -274,10 +273,11 @@
 	return e.Started > 0 && g.now < e.Started+g.set.Rules.ColdFor
 }
 
-// coldRoom keeps a just-started engine standing: what this gateway sends within any span stays under its
-// part of what the engine can surely do. Half goes to one gateway, which the engine's hash names, the rest
-// is split evenly. Hundreds of parts that hold no short query would idle half a fleet that restarts, so each
-// is then drawn for; it could harm where chance gives many of them one span: safety leaves room for that.
+// coldRoom keeps a just-started engine standing: what all gateways send within any span stays under
+// what it can surely do. An even part for each of hundreds would hold no query, so gateways take turns
+// of a span, two at a time where half the budget holds a query of any class. It covers restarts of any
+// number of engines under any number of gateways, as each can keep it alone; it could harm where clocks
+// differ by a good part of a span.
 func (g *Gateway) coldRoom(e *engine, r *request) bool {
 	if !g.cold(e) {
 		return true
@@ -286,10 +286,13 @@
 	if e.Started <= g.bornAt && g.now < g.bornAt+ru.FallSpan {
 		return false // what this gateway sent before its own restart still counts
 	}
-	budget := ru.FallMultiple * ru.ColdFrom * usableCores * e.cores * ru.FallSpan * coldSafety
-	part := (1 - coldOwner) / float64(g.set.Gateways)
-	if rank(uint64(e.ID), 0)%uint64(g.set.Gateways) == uint64(g.set.Self) {
-		part += coldOwner
+	part, turns := ru.FallMultiple*ru.ColdFrom*usableCores*e.cores*ru.FallSpan*coldSafety, 1
+	dear := slices.MaxFunc(g.classes, func(a, b *class) int { return cmp.Compare(a.work, b.work) }).work
+	if g.set.Gateways > 1 && part/2 >= dear {
+		part, turns = part/2, 2 // one may be quiet
+	}
+	if g.coldPlace(e) >= turns {
+		return false
 	}
 	sum := g.coldLoad(r)
 	past := g.now - ru.FallSpan - g.ticks(2)
@@ -297,11 +300,7 @@
 	for _, s := range e.coldSent {
 		sum += s.load
 	}
-	if sum <= part*budget || len(e.coldSent) > 0 || g.classes[r.Class].long {
-		return sum <= part*budget
-	}
-	span := uint64(max(g.now, 0) / ru.FallSpan) // a part too small for a query is drawn for, once a span
-	return float64(rank(uint64(e.ID)+span<<32, EngineID(g.set.Self))>>11)/(1<<53) < part*budget/sum
+	return sum <= part
 }
 
 // coldLoad is what a query weighs for fail-back: its class's usual work, or its own if dearer.
@@ -315,7 +314,11 @@
 	all, well := make([]*engine, 0, len(g.order)), make([]*engine, 0, len(g.order))
 	spare := !g.classes[r.Class].long && float64(g.sends-g.trialSeq) >= trialEach && g.mayRetry(r)
 	for _, e := range g.orderOf(r) {
-		if !g.permitted(e, r) || !g.coldRoom(e, r) {
+		if !g.permitted(e, r) {
+			continue
+		}
+		if !g.coldRoom(e, r) {
+			g.gotPart(e) // what it could not get is not owed to it once it is warm
 			continue
 		}
 		all = append(all, e)
@@ -394,7 +397,7 @@
 		if thin { // a large engine's part of a query is larger
 			one = r.draw * e.cores * float64(len(cands)) / cores
 		}
-		if e.onTrial || e.load <= bandOver*work*e.cores/cores+one {
+		if e.onTrial || thin && g.cold(e) || e.load <= bandOver*work*e.cores/cores+one {
 			l = append(l, e)
 		} else if least == nil || e.load/e.cores < least.load/least.cores {
 			least = e
@@ -403,6 +406,9 @@
 	if least != nil {
 		l = append(l, least)
 	}
+	if thin { // a cold engine's turn would else go by nearly unused: few queries come while it lasts
+		slices.SortStableFunc(l, func(a, b *engine) int { return cmp.Compare(g.coldRank(a), g.coldRank(b)) })
+	}
 	return l
 }
 
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -934,6 +934,57 @@
 	}
 }
 
+// TestColdEnginesOfAThinFleetCarryLongQueries: of 30 engines behind 80 gateways 18 were replaced within 5 s, and
+// the new ones got 0.8 cores' worth of work for their 15 s of warming: an even part held no report, so 12 engines
+// carried all reports of the fleet. What all gateways send in any span stays under what the engine can bear.
+func TestColdEnginesOfAThinFleetCarryLongQueries(t *testing.T) {
+	set := plainSettings()
+	set.Gateways, set.CostTold, set.Kinds = 80, true, []Kind{{16, 32768}}
+	works := []float64{80, 3000}
+	ru := set.Rules
+	limit := ru.FallMultiple * ru.ColdFrom * usableCores * 16 * ru.FallSpan
+	type sent struct {
+		at   Millis
+		work float64
+	}
+	var all []sent
+	longs := 0
+	for self := range set.Gateways {
+		set.Self = self
+		s := newScript(t, set, 30)
+		for i := range 150 { // 20 s, a fifth of them long; the engine starts after ten
+			id, now, class := RequestID(fmt.Sprint(i)), Millis(i)*133+Millis(self), 0
+			if i%5 == 4 {
+				class = 1
+			}
+			if i == 75 {
+				s.at(now, ListChanged{Kind: ListDelta, Entries: []EngineEntry{{ID: 9, State: EngineReady, Started: now - 100}}})
+			}
+			s.at(now, Arrived{ID: id, Class: class, Group: uint64(i*7+self) % 72, Left: 3000 * float64(1+3*class), Cost: works[class]})
+			if e := s.sentTo(id); e == 9 && i > 75 {
+				all = append(all, sent{now, works[class]})
+				longs += class
+			}
+			s.at(now+100, AttemptEnded{ID: id, Engine: s.sentTo(id), Outcome: OutcomeServed, Latency: works[class], Work: works[class], Closed: true})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].at < all[j].at })
+	for i := range all {
+		sum := 0.0
+		for _, o := range all[i:] {
+			if o.at < all[i].at+ru.FallSpan {
+				sum += o.work
+			}
+		}
+		if sum > limit {
+			t.Fatalf("%.0f ms of work in a span, %.0f are what it can bear", sum, limit)
+		}
+	}
+	if longs < 8 { // one in each turn, or more
+		t.Fatalf("%d long queries of all gateways in 10 s, %d queries in all", longs, len(all))
+	}
+}
+
 // orderedSettings has one class of loads whose keys keep their order.
 func orderedSettings() Settings {
 	set := plainSettings()
--- a/decide/state.go
+++ b/decide/state.go
@@ -337,6 +337,28 @@
 	return askSpend / max(g.set.ProbePrice, askSpend/askMost)
 }
 
+// gotPart books an engine as if it had lately got its part.
+func (g *Gateway) gotPart(e *engine) {
+	e.sent, e.sentSeq = latelyEach*e.cores*float64(len(g.order))/g.cores, g.sends
+}
+
+// coldPlace is this gateway's place in the line of those whose turn it is to send to a cold engine.
+// Turns are as long as the span of the rule and begin at a time of each engine's own.
+func (g *Gateway) coldPlace(e *engine) int {
+	span := max(g.set.Rules.FallSpan, 1)
+	begin := span * float64(rank(1, e.ID)>>11) / (1 << 53)
+	first := rank(uint64(max(g.now+begin, 0)/span), e.ID) % uint64(g.set.Gateways)
+	return (g.set.Self + g.set.Gateways - int(first)) % g.set.Gateways
+}
+
+// coldRank sorts cold engines before all others.
+func (g *Gateway) coldRank(e *engine) int {
+	if g.cold(e) {
+		return 0
+	}
+	return 1
+}
+
 // Beliefs are what the gateway holds true of each engine.
 func (g *Gateway) Beliefs(now Millis) []Belief {
 	g.now = now
