--- a/decide/decide.go
+++ b/decide/decide.go
@@ -275,7 +275,7 @@
 
 // coldRoom keeps a just-started engine standing: what all gateways send within any span stays under
 // what it can surely do. An even part for each of hundreds would hold no query, so gateways take turns
-// of a span, two at a time where half the budget holds a query of any class. It covers restarts of any
+// of a span, as many at a time as the budget holds queries of any class. It covers restarts of any
 // number of engines under any number of gateways, as each can keep it alone; it could harm where clocks
 // differ by a good part of a span.
 func (g *Gateway) coldRoom(e *engine, r *request) bool {
@@ -286,26 +286,19 @@
 	if e.Started <= g.bornAt && g.now < g.bornAt+ru.FallSpan {
 		return false // what this gateway sent before its own restart still counts
 	}
-	part, turns := ru.FallMultiple*ru.ColdFrom*usableCores*e.cores*ru.FallSpan*coldSafety, 1
+	part := ru.FallMultiple * ru.ColdFrom * usableCores * e.cores * ru.FallSpan * coldSafety
 	dear := slices.MaxFunc(g.classes, func(a, b *class) int { return cmp.Compare(a.work, b.work) }).work
-	if g.set.Gateways > 1 && part/2 >= dear {
-		part, turns = part/2, 2 // one may be quiet
-	}
+	turns := max(min(int(part/dear), g.set.Gateways), 1)
 	if g.coldPlace(e) >= turns {
 		return false
 	}
-	sum := g.coldLoad(r)
+	sum := g.classes[r.Class].work // for fail-back a query weighs the usual work of its class
 	past := g.now - ru.FallSpan - g.ticks(2)
 	e.coldSent = slices.DeleteFunc(e.coldSent, func(s sample) bool { return s.at < past })
 	for _, s := range e.coldSent {
 		sum += s.load
 	}
-	return sum <= part
-}
-
-// coldLoad is what a query weighs for fail-back: its class's usual work, or its own if dearer.
-func (g *Gateway) coldLoad(r *request) float64 {
-	return max(g.classes[r.Class].work, g.expect(r))
+	return sum <= part/float64(turns)
 }
 
 // candidates are the permitted engines in rotation, or due for a trial by one short query, in the
@@ -587,7 +580,7 @@
 	e.report.Memory += r.MemoryMB * c.memBias * grantOver / max(e.mem, 1)
 	e.sent, e.sentSeq = e.lately(g)-float64(len(e.out))+1, g.sends
 	if g.cold(e) {
-		e.coldSent = append(e.coldSent, sample{g.now, g.coldLoad(r)})
+		e.coldSent = append(e.coldSent, sample{g.now, c.work})
 	}
 	grant, first := 0.0, g.priority(r)
 	if g.set.GrantsHeeded && r.mem > 0 && c.samples > 0 && (g.set.CostTold || c.spills > 0) {
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -985,6 +985,22 @@
 	}
 }
 
+// The rule on cold engines weighs a query by its class's usual work; weighed by rough estimates of its own, most
+// reports found no room at engines that could bear them.
+func TestForFailBackAQueryWeighsItsClassesUsualWork(t *testing.T) {
+	s := newScript(t, plainSettings(), 0)
+	s.g.classes[1].work = 2000
+	s.at(5000, ListChanged{Kind: ListDelta, Entries: []EngineEntry{{ID: 9, State: EngineReady, Started: 4990}}})
+	s.at(5000, Arrived{ID: "a", Class: 1, Group: 3, Left: 14000, Cost: 9000})
+	if s.sentTo("a") != 9 {
+		t.Fatal("a dear report is not sent to a cold engine that holds a usual one")
+	}
+	s.at(5000, Arrived{ID: "b", Class: 1, Group: 3, Left: 14000, Cost: 10})
+	if s.sentTo("b") != 0 {
+		t.Fatal("a cheap report is sent where no second usual one has room")
+	}
+}
+
 // orderedSettings has one class of loads whose keys keep their order.
 func orderedSettings() Settings {
 	set := plainSettings()
