One overdue attempt with nothing heard since puts an engine on trial where traffic is thin

Ruled out: refusals and errors (none from it); probes, which it answered with 30 to 60 in flight. Fault: checkSilence in decide/decide.go asked for two overdue attempts at once, or for notes of progress, which this site does not send. Mend: in thin traffic one is enough.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -837,8 +837,10 @@
 }
 
 // checkSilence cancels overdue attempts to try elsewhere, and ejects an engine of which several are
-// overdue with nothing heard since they were sent. Where running work sends notes, missing ones are the
-// proof. It covers hangs, lost answers and severed zones; strain and the ration bound it when all is slow.
+// overdue with nothing heard since they were sent; in thin traffic no two are ever out there, so one is
+// enough. Where running work sends notes, missing ones are the proof. It covers hangs, lost answers and
+// severed zones; strain and the ration bound it when all is slow. It could harm where work is told far
+// too low: trials are cheap and soon.
 func (g *Gateway) checkSilence(e *engine) {
 	silent := 0
 	for _, r := range attemptsOf(e) {
@@ -853,7 +855,7 @@
 		}
 		g.tryElsewhere(r)
 	}
-	if silent >= ejectAfter || silent > 0 && (e.onTrial || g.thin() && g.set.ProgressEvery > 0) {
+	if silent >= ejectAfter || silent > 0 && (e.onTrial || g.thin()) {
 		g.eject(e, false, "silent")
 	}
 }
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1001,6 +1001,38 @@
 	}
 }
 
+// TestOneLossLeavesAStuckEngineWhereTrafficIsThin: an engine that had stopped answering got 20 queries a second from
+// 80 gateways for 11 s, as none of them ever had two out there to compare. One gateway must leave it after one
+// loss, look again seldom, and find it once it answers.
+func TestOneLossLeavesAStuckEngineWhereTrafficIsThin(t *testing.T) {
+	set := plainSettings()
+	set.Gateways = 80
+	s := newScript(t, set, 10)
+	now := s.teach(10, 40, 5, 0, 50)
+	sent, begin := map[bool]int{}, now // to the stuck engine, while it is stuck and after
+	for i := 0; now < begin+40000; i++ {
+		id, stuck := RequestID(fmt.Sprint("q", i)), now < begin+20000
+		s.at(now, Arrived{ID: id, Group: uint64(i % 72), Left: 3000})
+		e, try := s.sentTo(id), 0
+		if e == 3 {
+			sent[stuck]++
+		}
+		for until := now + 3000; e == 3 && stuck && now < until; now += 50 {
+			s.at(now, TimerFired{"tick"})
+			if s.cancelled(id) {
+				s.at(now, AttemptEnded{ID: id, Engine: e, Outcome: OutcomeCancelled})
+				e, try = s.sentTo(id), 1
+			}
+		}
+		s.at(now+50, AttemptEnded{ID: id, Engine: e, Attempt: try, Outcome: OutcomeServed, Latency: 50, Closed: true})
+		now += 200
+		s.at(now, TimerFired{"tick"})
+	}
+	if sent[true] > 6 || sent[false] < 8 {
+		t.Fatalf("%d of 100 queries to an engine that is stuck, %d of 100 once it answers", sent[true], sent[false])
+	}
+}
+
 // orderedSettings has one class of loads whose keys keep their order.
 func orderedSettings() Settings {
 	set := plainSettings()
