--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 	ejectAfter    = 2     // failures in a row that eject
 	leaveLeast    = 0.2   // soft evidence leaves this share of the cores known of, all seen to answer lately
 	learnRate     = 0.05  // weight of one sample in class means
-	priorSamples  = 1     // weight of the prior, aim times threads: dear for cold engines, and few samples come
+	priorSamples  = 1     // weight of the prior, aim times threads: it is dear on purpose, for cold engines' sake
 	bestRate      = 0.01  // the same for the mean log latency, whose lowest is the class's best
 	forgetRate    = 1e-4  // a best is forgotten this slowly: long overload must not pass for normal
 	stretchRate   = 0.1   // weight of one sample in latency evidence
