A turn at a cold engine has as many gateways as its budget holds reports

Fault: coldRoom divided the budget by the dearest class. Divided by the cheapest long one, three have their turn; what is dearer than a part goes to warm engines.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 	ejectAfter    = 2     // failures in a row that eject
 	leaveLeast    = 0.2   // soft evidence leaves this share of the cores known of, all seen to answer lately
 	learnRate     = 0.05  // weight of one sample in class means
-	priorSamples  = 1     // weight of the prior, aim times threads: it is dear on purpose, for cold engines' sake
+	priorSamples  = 1     // weight of the prior: aim times threads, dear for cold engines' sake
 	bestRate      = 0.01  // the same for the mean log latency, whose lowest is the class's best
 	forgetRate    = 1e-4  // a best is forgotten this slowly: long overload must not pass for normal
 	stretchRate   = 0.1   // weight of one sample in latency evidence
@@ -275,7 +275,7 @@
 
 // coldRoom keeps a just-started engine standing: what all gateways send within any span stays under
 // what it can surely do. An even part for each of hundreds would hold no query, so gateways take turns
-// of a span, as many at a time as the budget holds queries of any class. It covers restarts of any
+// of a span, as many at a time as the budget holds of the cheapest long class. It covers restarts of any
 // number of engines under any number of gateways, as each can keep it alone; it could harm where clocks
 // differ by a good part of a span.
 func (g *Gateway) coldRoom(e *engine, r *request) bool {
@@ -287,8 +287,7 @@
 		return false // what this gateway sent before its own restart still counts
 	}
 	part := ru.FallMultiple * ru.ColdFrom * usableCores * e.cores * ru.FallSpan * coldSafety
-	dear := slices.MaxFunc(g.classes, func(a, b *class) int { return cmp.Compare(a.work, b.work) }).work
-	turns := max(min(int(part/dear), g.set.Gateways), 1)
+	turns := max(min(int(part/g.leastLong()), g.set.Gateways), 1)
 	if g.coldPlace(e) >= turns {
 		return false
 	}
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1033,6 +1033,35 @@
 	}
 }
 
+// Loads as dear as half the budget left one gateway at a time to a cold engine, which sees two or three reports
+// in its turn: reports are what most of the budget is for, and a turn has as many gateways as it holds of them.
+func TestATurnHasAsManyGatewaysAsItHoldsReports(t *testing.T) {
+	set := plainSettings()
+	set.Gateways, set.Kinds = 80, []Kind{{16, 32768}}
+	set.Classes = append(set.Classes, Class{Aim: 4000, Deadline: 20000, Worth: 20, Threads: 2, Loads: true, Repeat: RepeatOnce})
+	ru := set.Rules
+	half := ru.FallMultiple * ru.ColdFrom * usableCores * 16 * ru.FallSpan / 2
+	sent, works := 0.0, []float64{80, half / 3.2, half / 1.2}
+	for self := range set.Gateways {
+		set.Self = self
+		s := newScript(t, set, 0)
+		for i, w := range works {
+			s.g.classes[i].work = w
+		}
+		s.at(5000, ListChanged{Kind: ListDelta, Entries: []EngineEntry{{ID: 9, State: EngineReady, Started: 4990}}})
+		for i := range 2 { // each sees few
+			id := RequestID(fmt.Sprint(i))
+			s.at(5000, Arrived{ID: id, Class: 1 + i%2, Group: uint64(i), Left: 14000})
+			if s.sentTo(id) != 0 {
+				sent += works[1+i%2]
+			}
+		}
+	}
+	if sent > half || sent < 0.9*half {
+		t.Fatalf("%.0f of %.0f ms of work sent by all to a cold engine in a turn", sent, half)
+	}
+}
+
 // orderedSettings has one class of loads whose keys keep their order.
 func orderedSettings() Settings {
 	set := plainSettings()
--- a/decide/state.go
+++ b/decide/state.go
@@ -332,6 +332,17 @@
 	}
 }
 
+// leastLong is the usual work of the cheapest long class, or of the dearest where none is long.
+func (g *Gateway) leastLong() float64 {
+	least, most := math.Inf(1), 0.0
+	for _, c := range g.classes {
+		if most = max(most, c.work); c.long {
+			least = min(least, c.work)
+		}
+	}
+	return min(least, most)
+}
+
 // asksEach is the probes that each query earns at their price.
 func (g *Gateway) asksEach() float64 {
 	return askSpend / max(g.set.ProbePrice, askSpend/askMost)
