--- a/internal/emulator/live/fleet.go
+++ b/internal/emulator/live/fleet.go
@@ -87,6 +87,7 @@
 	mu        sync.Mutex
 	cond      *sync.Cond
 	model     *engine.Engine
+	sick      float64 // times slower than the rest; 0 stands for 1
 	runs      map[string]*run
 	seq       uint64
 	up        bool
@@ -144,7 +145,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.model = engine.New(e.kind, e.clock.Now(), started)
-	e.model.Slow(e.clock.Now(), slow)
+	e.model.Slow(e.clock.Now(), slow*max(e.sick, 1))
 	e.runs = map[string]*run{}
 	e.up, e.draining, e.stalled, e.silent, e.startedAt = true, false, false, false, max(started, 0)
 	return nil
--- a/internal/emulator/live/troubles.go
+++ b/internal/emulator/live/troubles.go
@@ -30,9 +30,18 @@
 		d.slow = a.Value
 		d.mu.Unlock()
 		for _, e := range d.fleet {
-			e.change(func(now float64) { e.model.Slow(now, a.Value) })
+			e.change(func(now float64) { e.model.Slow(now, a.Value*max(e.sick, 1)) })
 		}
 		d.note("engines %.2f times slower", a.Value)
+	case scenario.ActSick:
+		d.mu.Lock()
+		slow := d.slow
+		d.mu.Unlock()
+		e.change(func(now float64) {
+			e.sick = a.Value
+			e.model.Slow(now, slow*max(e.sick, 1))
+		})
+		d.note("engine %d %.2f times slower than the rest", e.place, a.Value)
 	case scenario.ActRoster:
 		d.journal.reach(a.Value > 0)
 		d.note("roster out of reach: %t", a.Value > 0)
--- a/internal/emulator/observer/report.go
+++ b/internal/emulator/observer/report.go
@@ -177,8 +177,9 @@
 	r.Parts["waste_price"] = round(g.Waste * ratio(t.Wasted, t.WorkIn))
 	r.Parts["cross_hall_price"] = round(g.CrossHall * float64(t.CrossHall) / first)
 	r.Parts["probe_price"] = round(g.Probe * float64(t.Probes) / first)
+	r.Parts["handshake_price"] = round(g.Handshake * float64(t.Handshakes) / first)
 	service := g.Whole*ratio(earned, asked) + g.WorstWindow*worstWindow + g.WorstClass*worstClass
-	for _, price := range []string{"late_fail_price", "waste_price", "cross_hall_price", "probe_price"} {
+	for _, price := range []string{"late_fail_price", "waste_price", "cross_hall_price", "probe_price", "handshake_price"} {
 		service -= r.Parts[price]
 	}
 	r.Service = round(max(service, 0))
--- a/internal/emulator/scenario/load.go
+++ b/internal/emulator/scenario/load.go
@@ -247,7 +247,7 @@
 		}
 	}
 	switch t.Kind {
-	case Burst, Slow:
+	case Burst, Slow, Sick:
 		lack(t.Size.Hi <= 0, "size", "give the multiple, as 2.3")
 		lack(t.ForMS.Hi <= 0, "for_ms", "say how long it lasts")
 	case Stalls:
@@ -266,7 +266,7 @@
 	case CoordinatorCrash:
 		lack(len(t.Coordinators) == 0, "coordinators", "name them")
 	}
-	if slices.Contains([]string{Drain, Restart, Crash, Replace, Vanish}, t.Kind) {
+	if slices.Contains([]string{Drain, Restart, Crash, Replace, Vanish, Sick}, t.Kind) {
 		lack(len(t.Engines) == 0, "engines", "name them")
 	}
 }
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -197,12 +197,14 @@
 	Waste       float64 `json:"waste"`
 	Probe       float64 `json:"probe"`
 	LateFail    float64 `json:"late_fail"`
+	Handshake   float64 `json:"handshake"` // for a new connection to an engine, per first try
 }
 
 // Kinds of trouble.
 const (
 	Burst            = "burst"             // arrivals times Size
 	Slow             = "slow"              // every engine Size times slower
+	Sick             = "sick"              // engines Size times slower than the rest, and still up
 	Stalls           = "stalls"            // a Part of the engines stands still for SizeMS, again and again
 	RosterDown       = "roster_down"       // no news of the list
 	RosterBehind     = "roster_behind"     // news SizeMS later than usual
--- a/internal/emulator/scenario/settings.go
+++ b/internal/emulator/scenario/settings.go
@@ -40,7 +40,7 @@
 		"domain": object{"sizeCores": []float64{e.Cores}, "kindMemoryMb": []float64{e.MemoryMB}, "classThreads": threads,
 			"writesTables": loads, "blockedByLoads": waits, "costInAnswers": true, "grantsCount": true, "lanesCount": true,
 			"memoryShort": "line_up", "mostGrant": e.MostGrant},
-		"lanes": lanes, "registryMode": "push", "rules": rules, "prices": object{"probe": s.Goal.Probe},
+		"lanes": lanes, "registryMode": "push", "rules": rules, "prices": object{"probe": s.Goal.Probe, "handshake": s.Goal.Handshake},
 		"report": object{"via": "pull", "fields": []string{"inflight", "util", "x1", "x0"}},
 	})
 	if err != nil {
--- a/internal/emulator/scenario/timeline.go
+++ b/internal/emulator/scenario/timeline.go
@@ -34,6 +34,7 @@
 const (
 	ActStall  ActKind = iota // Value 1: stands still; 0: goes on
 	ActSlow                  // all engines Value times slower
+	ActSick                  // engine Engine Value times slower than the rest
 	ActRoster                // Value 1: out of reach; 0: back
 	ActBehind                // list news Value ms later
 	ActJoin                  // engine Engine joins, cold
@@ -138,7 +139,7 @@
 		}
 		tells = fmt.Sprintf("coordinators %v die", tr.Coordinators)
 	default:
-		t.engines(tr, at, length)
+		t.engines(tr, at, length, size)
 		tells = fmt.Sprintf("%s: engines %v", tr.Kind, tr.Engines)
 	}
 	t.Spans = append(t.Spans, Span{tr.Kind, math.Round(at), math.Round(max(end, at)), tells})
@@ -147,7 +148,7 @@
 // restartDrain is how long a planned restart lets work finish, ms.
 const restartDrain = 3000.0
 
-func (t *Timeline) engines(tr Trouble, at, length float64) {
+func (t *Timeline) engines(tr Trouble, at, length, size float64) {
 	for _, e := range tr.Engines {
 		switch tr.Kind {
 		case Drain:
@@ -166,6 +167,9 @@
 			t.act(at, ActCrash, e, 0)
 			t.act(at+length, ActJoin, t.Fleet, 0)
 			t.Fleet++
+		case Sick:
+			t.act(at, ActSick, e, size)
+			t.act(at+length, ActSick, e, 1)
 		case Vanish:
 			t.act(at, ActVanish, e, 1)
 			t.act(at+length, ActVanish, e, 0)
--- a/internal/emulator/world/node.go
+++ b/internal/emulator/world/node.go
@@ -23,6 +23,7 @@
 	fallen    bool
 	silent    bool
 	stalled   bool
+	sick      float64 // times slower than the rest
 	started   float64
 	open      int // connections
 	wakeAt    float64
@@ -31,7 +32,7 @@
 
 func (w *World) newNode(place int) *node {
 	n := &node{w: w, place: place, hall: w.s.HallOf(place), id: decide.EngineID(w.ids.Uint32()),
-		kind: engine.Draw(w.s, w.drawn, w.corePart)}
+		sick: 1, kind: engine.Draw(w.s, w.drawn, w.corePart)}
 	w.byID[n.id] = n
 	return n
 }
@@ -40,7 +41,7 @@
 func (n *node) boot(now, started float64) {
 	n.closeBooks()
 	n.model = engine.New(n.kind, now, started)
-	n.model.Slow(now, n.w.slow)
+	n.model.Slow(now, n.w.slow*n.sick)
 	n.run++
 	n.up, n.draining, n.silent, n.stalled, n.started, n.open, n.wakeAt = true, false, false, false, max(started, 0), 0, math.Inf(1)
 }
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -129,10 +129,16 @@
 		w.slow = a.Value
 		for _, n := range w.nodes {
 			if n.up {
-				n.sync(func() { n.model.Slow(now, w.slow) })
+				n.sync(func() { n.model.Slow(now, w.slow*n.sick) })
 			}
 		}
 		w.obs.Note(now, "engines %.2f times slower", a.Value)
+	case scenario.ActSick:
+		n.sick = a.Value
+		if n.up {
+			n.sync(func() { n.model.Slow(now, w.slow*n.sick) })
+		}
+		w.obs.Note(now, "engine %d %.2f times slower than the rest", n.place, a.Value)
 	case scenario.ActRoster:
 		w.roster.reach(w, a.Value == 0)
 	case scenario.ActBehind:
