Pass dedupe on as Once-Key, read rep, and tell the module the engines' notes

Seen: no front read dedupe or rep (jsonrpc.params had call, ttl, work, ram, doc), engine.Query.Begin wrote no Once-Key, and Query.answer took a 202 without its Outcome and X-Num, so the module heard of no progress, spill or wait. Change: dedupe and rep are read and checked; a load of a keyed class without a key that can be used is never sent (-32602, 400 on the REST front); the key goes on unchanged on both fronts and to both kinds of engines; notes reach the module.

--- /dev/null
+++ b/cmd/aniseloft/second_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// secondSettings differ from the first deployment's in every switch: no probes, priorities, grants, told
+// costs or times to come back; keyed loads, a ration, notes, datagrams and reports in answers.
+const secondSettings = `{"balancers":1,"me":0,"tickMs":5,"zone":0,"zones":["hall-a"],"machineTypes":["std-16","rest-16"],
+ "bounds":{"cancel":true,"connIdleMs":15000,"connectTimeoutMs":2000,"maxOpen":1000,"maxRetryAfterMs":0,"peers":true,"probes":false,"retryAfter":false,"sendCap":4},
+ "domain":{"sizeCores":[16,16],"kindMemoryMb":[32768,32768],"classThreads":[1,4,2],"writesTables":[false,false,true],"costInAnswers":false,"grantsCount":false,"lanesCount":false,"memoryShort":"overcommit","mostGrant":0.4,"progressMs":1000},
+ "lanes":[{"name":"trip-lookup","promiseMs":8000,"deadlineMs":10000,"repeat":"repeatable","gain":1,"lateWorth":0.1},
+  {"name":"ridership-report","promiseMs":8000,"deadlineMs":10000,"repeat":"repeatable","gain":10,"lateWorth":0.4},
+  {"name":"timetable-load","promiseMs":8000,"deadlineMs":10000,"repeat":"by_key","dedupScope":"all","repeatWindowMs":9000,"gain":8,"lateWorth":0.6}],
+ "clientHabits":{"marksRetry":true},"prices":{"peer":0.012},
+ "registryMode":"push","report":{"via":"piggyback","fields":["queue","inflight","x0","x1"]},
+ "rules":{"answerSlackMs":20,"coldFrom":0.31,"coldMs":14000,"drainGraceMs":2000,"fallMs":2000,"fallMultiple":3,"repeatRatio":0.1,"spareAttempts":2,"resendSpanMs":5000}}`
+
+func secondWorld(t *testing.T, rest bool) (*node, *engine) {
+	e, j, dir, store := newEngine(t, false), newJournal(t), t.TempDir(), ""
+	j.add(true, server(1, e, "active"))
+	if rest {
+		store = filepath.Join(dir, "record.db")
+	}
+	return runSet(t, dir, j, store, 600, `{}`, secondSettings), e
+}
+
+func keyed(id int, statement, more string) string {
+	return strings.Replace(query(id, "timetable-load", statement, 9000), `"ttl"`, more+`"ttl"`, 1)
+}
+
+// Engines drop repeats by the client's key: no front read it, and no engine was sent it.
+func TestTheKeyOfALoadGoesToItsEngineUnchanged(t *testing.T) {
+	t.Parallel()
+	p, e := secondWorld(t, true)
+	c := dial(t, p.listen)
+	key := "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	require.Equal(t, "a\tb\tc\n", served(t, c.call(keyed(1, "insert into s_1.x", fmt.Sprintf(`"dedupe":%q,"rep":"1",`, key)))))
+	require.Equal(t, "a\tb\tc\n", served(t, c.call(query(2, "trip-lookup", "x", 9000))))
+	require.Equal(t, 200, p.post("timetable-load", "rest-key", "insert into s_2.x").status)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.Equal(t, []string{key}, e.headers[0].Values("Once-Key"))
+	require.Empty(t, e.headers[1].Values("Once-Key"), "a class that may be repeated has none")
+	require.Equal(t, []string{"rest-key"}, e.headers[2].Values("Once-Key"))
+}
+
+func TestALoadWhoseKeyCannotBeUsedIsNeverSent(t *testing.T) {
+	t.Parallel()
+	p, e := secondWorld(t, true)
+	c := dial(t, p.listen)
+	for id, more := range []string{``, `"dedupe":"",`, `"dedupe":7,`, `"dedupe":null,`, `"dedupe":"a b",`, `"dedupe":"a\r\nKind: x",`,
+		`"dedupe":"` + strings.Repeat("5", 65) + `",`, `"dedupe":"k","rep":"yes",`, `"dedupe":"k","rep":{},`} {
+		require.Contains(t, c.call(keyed(id+1, "insert into s_1.x", more)), `"code":-32602`, more)
+	}
+	require.Equal(t, 400, p.post("timetable-load", "", "insert into s_1.x").status)
+	require.Zero(t, e.count(&e.started, "insert into s_1.x"))
+}
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -422,6 +423,7 @@
 	listen string
 	rest   string
 	admin  string // the operators' address
+	set    string // the settings; empty: the first deployment's
 	limit  int    // descriptors; 0: 64
 	log    *bytes.Buffer
 	mu     sync.Mutex
@@ -462,7 +464,12 @@
 
 // runSpooled starts it with a spool too, unless its settings are empty.
 func runSpooled(t *testing.T, dir string, j *journal, store string, keep int, spool string) *node {
-	p := &node{t: t, dir: dir, listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{}}
+	return runSet(t, dir, j, store, keep, spool, "")
+}
+
+// runSet starts it under other settings than the first deployment's, unless they are empty.
+func runSet(t *testing.T, dir string, j *journal, store string, keep int, spool, set string) *node {
+	p := &node{t: t, dir: dir, listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{}, set: set}
 	p.configure(j)
 	if store != "" {
 		p.rest = freeAddr(t)
@@ -508,7 +515,7 @@
 // configure writes the configuration with j for its journal service.
 func (p *node) configure(j *journal) {
 	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":32,"sockets":%d},"journal":%q,"known":%s,"settings":%s}`,
-		p.listen, p.admin, max(p.limit, 64), j.Listener.Addr(), j.batch(0), settings))
+		p.listen, p.admin, max(p.limit, 64), j.Listener.Addr(), j.batch(0), cmp.Or(p.set, settings)))
 }
 
 func (p *node) write(conf string) {
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -44,7 +44,8 @@
 	Statement   []byte
 	TimeoutMS   int64
 	GrantMB     int64
-	Priority    int // -1: the engine's own choice
+	Priority    int    // -1: the engine's own choice
+	Key         string // the client's idempotency key; empty: none
 }
 
 // Result is the end of a query with what came with it.
@@ -63,6 +64,35 @@
 	Result *Result // the end
 	Keep   bool    // with the end: the connection can carry another call
 	Fresh  bool    // Resume asks on; this connection is of no more use
+	Note   *Note   // word of a query that runs on
+}
+
+// Note is what an engine tells of a query that runs.
+type Note struct {
+	Kind  NoteKind
+	Value float64
+}
+
+// NoteKind is what a note tells.
+type NoteKind int
+
+// The notes of the protocol.
+const (
+	SoFar   NoteKind = iota + 1 // the share done
+	Lacking                     // megabytes missing
+	Waiting                     // 1 for memory, 2 for a load
+)
+
+var noteKinds = map[string]NoteKind{"so_far": SoFar, "lacking": Lacking, "waiting": Waiting}
+
+// note reads what a 202 may bring; what can't be used is no note.
+func note(m *httpmsg.Message) *Note {
+	k := noteKinds[strings.TrimSpace(m.Header.Get("Outcome"))]
+	v, err := strconv.ParseFloat(strings.TrimSpace(m.Header.Get("X-Num")), 64)
+	if k == 0 || err != nil || !(v >= 0) || math.IsInf(v, 0) || k == SoFar && v > 1 {
+		return nil
+	}
+	return &Note{k, v}
 }
 
 type state int
@@ -104,6 +134,9 @@
 	if q.start.Priority >= 0 {
 		f = append(f, httpmsg.Field{Name: "X-Weight-Class", Value: strconv.Itoa(q.start.Priority)})
 	}
+	if q.start.Key != "" {
+		f = append(f, httpmsg.Field{Name: "Once-Key", Value: q.start.Key})
+	}
 	return httpmsg.AppendRequest(nil, "POST", "/data", q.host, f, q.start.Statement)
 }
 
@@ -134,17 +167,21 @@
 	}
 	clean := !m.Close && q.http.Idle()
 	res, err := q.answer(m, q.http.Rest())
-	switch {
-	case err != nil:
+	if err != nil {
 		return Step{}, err
-	case res != nil:
+	}
+	if res != nil {
 		q.state = ended
 		return Step{Result: res, Keep: clean}, nil
-	case !clean:
-		// What is left behind an answer, such as a second copy, would be taken for the next one.
-		return Step{Fresh: true}, nil
 	}
-	return Step{Out: q.ask()}, nil
+	step := Step{Fresh: !clean} // what is left behind an answer, such as a second copy, would be taken for the next one
+	if clean {
+		step.Out = q.ask()
+	}
+	if m.Status == 202 {
+		step.Note = note(m)
+	}
+	return step, nil
 }
 
 // answer takes a whole answer and what has come behind it; the result is nil
--- a/internal/protocol/jsonrpc/jsonrpc.go
+++ b/internal/protocol/jsonrpc/jsonrpc.go
@@ -41,6 +41,8 @@
 		TTL      float64
 		Work     float64
 		RAM      float64
+		Key      string // the same for all tries of one request; empty: none
+		Repeat   bool   // the client says that it tries again
 		Document []byte
 	}
 	// Cancel withdraws the open request with that id.
@@ -101,11 +103,13 @@
 }
 
 type params struct {
-	Call string   `json:"call"`
-	TTL  *float64 `json:"ttl"`
-	Work *float64 `json:"work"`
-	RAM  *float64 `json:"ram"`
-	Doc  *string  `json:"doc"`
+	Call string              `json:"call"`
+	TTL  *float64            `json:"ttl"`
+	Work *float64            `json:"work"`
+	RAM  *float64            `json:"ram"`
+	Doc  *string             `json:"doc"`
+	Key  jsoniter.RawMessage `json:"dedupe"`
+	Rep  jsoniter.RawMessage `json:"rep"`
 }
 
 func message(line []byte) any {
@@ -148,7 +152,46 @@
 	if err != nil {
 		return bad(id, CodeParams, "invalid params: doc")
 	}
-	return Request{ID: id, Method: *e.Method, Call: p.Call, TTL: *p.TTL, Work: *p.Work, RAM: *p.RAM, Document: doc}
+	once, ok := key(p.Key)
+	if !ok {
+		return bad(id, CodeParams, "invalid params: dedupe")
+	}
+	again, ok := repeat(p.Rep)
+	if !ok {
+		return bad(id, CodeParams, "invalid params: rep")
+	}
+	return Request{ID: id, Method: *e.Method, Call: p.Call, TTL: *p.TTL, Work: *p.Work, RAM: *p.RAM, Document: doc,
+		Key: once, Repeat: again}
+}
+
+// maxKey bounds an idempotency key, which goes to engines in a header; the platform's have 32 digits.
+const maxKey = 64
+
+// key reads the idempotency key, if there is one: a word of visible ASCII signs, as a header holds it unchanged.
+func key(raw []byte) (text string, ok bool) {
+	if len(raw) == 0 {
+		return "", true
+	}
+	if codec.Unmarshal(raw, &text) != nil || text == "" || len(text) > maxKey {
+		return "", false
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] >= 0x7f {
+			return "", false
+		}
+	}
+	return text, true
+}
+
+// repeat reads the mark of a client's retry, if there is one; the page does not say whether 1 is a word or a number.
+func repeat(raw []byte) (marked, ok bool) {
+	switch string(raw) {
+	case `"1"`, "1":
+		return true, true
+	case "":
+		return false, true
+	}
+	return false, false
 }
 
 // callOK takes 16 hex digits: it goes to engines in a header, unchanged.
--- a/internal/protocol/rest/client.go
+++ b/internal/protocol/rest/client.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/url"
@@ -29,6 +30,7 @@
 type Start struct {
 	Call, Class, User string
 	Statement         []byte
+	Key               string // the client's idempotency key; empty: the call's name stands in
 	Timeout           time.Duration
 	// Stream hands each page on as it comes; no result is then too large, and none is held.
 	Stream bool
@@ -68,7 +70,7 @@
 		{Name: "X-Trino-Source", Value: q.start.Class},
 		{Name: "X-Trino-Trace-Token", Value: q.start.Call},
 		{Name: "X-Trino-Session", Value: "query_max_run_time=" + strconv.FormatInt(max(q.start.Timeout.Milliseconds(), 1), 10) + "ms"},
-		{Name: "Idempotency-Key", Value: q.start.Call},
+		{Name: HeaderKey, Value: cmp.Or(q.start.Key, q.start.Call)},
 	}, q.start.Statement)
 }
 
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -231,7 +231,7 @@
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
 	c.handle(decide.Arrived{ID: id, Class: q.Class, Group: Group(string(q.Statement)),
-		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB})
+		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB, Retry: q.Repeat})
 }
 
 // HandBack answers what is open, for a process that is about to be killed: what may be
@@ -383,16 +383,17 @@
 		return
 	}
 	try := Attempt{Call: r.query.Call, Class: c.set.Classes[r.query.Class].Name, Statement: r.query.Statement,
-		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Sink: r.query.Sink,
-		Ready: func() bool { return e.ready.Load() && !c.hand.isOut(e.Name) }}
-	if try.Sink != nil {
-		try.Sink = &lively{Sink: try.Sink, tell: func() {
+		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Key: r.query.Key, Sink: r.query.Sink,
+		Note: func(k decide.ProgressKind, value float64) {
 			c.post(func() {
 				if !t.over {
-					c.handle(decide.Progress{ID: r.id, Attempt: n, Kind: decide.ProgressPages})
+					c.handle(decide.Progress{ID: r.id, Attempt: n, Kind: k, Value: value})
 				}
 			})
-		}}
+		},
+		Ready: func() bool { return e.ready.Load() && !c.hand.isOut(e.Name) }}
+	if try.Sink != nil {
+		try.Sink = &lively{Sink: try.Sink, tell: func() { try.Note(decide.ProgressPages, 0) }}
 	}
 	way := e.way
 	c.running.Add(1)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -18,6 +18,8 @@
 	Deadline  time.Time
 	Work      float64 // estimated, ms on one core; 0: none
 	MemoryMB  float64 // estimated; 0: none
+	Key       string  // the client's idempotency key, passed on unchanged; empty: none
+	Repeat    bool    // the client says that it tries again
 	Sink      Sink    // takes the result page by page where an engine can give it so; nil: whole
 }
 
@@ -61,8 +63,11 @@
 	Statement []byte
 	Timeout   time.Duration
 	GrantMB   float64
-	Priority  int // -1: none set
+	Priority  int    // -1: none set
+	Key       string // the client's idempotency key; empty: none
 	Sink      Sink
+	// Note takes what an engine tells of the attempt while it runs.
+	Note func(decide.ProgressKind, float64)
 	// Ready tells, as the first byte goes, whether the list still allows new
 	// work to the engine: between the decision and the send, a drain may come.
 	Ready func() bool
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"aniseloft/decide"
 	"aniseloft/internal/oncall"
 	"aniseloft/internal/protocol/jsonrpc"
 	"aniseloft/internal/routing"
@@ -175,6 +176,10 @@
 		return
 	}
 	cls := core.Settings().Classes[class]
+	if cls.Repeat == decide.RepeatKeyed && m.Key == "" {
+		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: dedupe is needed: engines drop repeats of this class by it"))
+		return
+	}
 	if k.front.Take != nil && !k.front.Take(at, oncall.Expect(m.Work, cls.Threads, cls.Aim)) {
 		k.guest.sentAway()
 		k.send(jsonrpc.Refused(m.ID, "this coordinator is sending its clients away", float64(oncall.ComeBack.Milliseconds())))
@@ -193,7 +198,8 @@
 		return
 	}
 	r.ticket = core.Submit(routing.Query{Call: m.Call, Class: class, Statement: m.Document,
-		Deadline: at.Add(time.Duration(m.TTL * float64(time.Millisecond))), Work: m.Work, MemoryMB: m.RAM}, r)
+		Deadline: at.Add(time.Duration(m.TTL * float64(time.Millisecond))), Work: m.Work, MemoryMB: m.RAM,
+		Key: m.Key, Repeat: m.Repeat}, r)
 }
 
 // Answer queues the final answer; it runs on the core's goroutine.
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -36,14 +36,14 @@
 	}
 	deadline, _ := ctx.Deadline()
 	q := engine.NewQuery(p.addr, engine.Start{Call: a.Call, Class: a.Class, Statement: a.Statement,
-		TimeoutMS: max(time.Until(deadline).Milliseconds(), 1), GrantMB: int64(math.Ceil(a.GrantMB)), Priority: a.Priority})
+		TimeoutMS: max(time.Until(deadline).Milliseconds(), 1), GrantMB: int64(math.Ceil(a.GrantMB)), Priority: a.Priority, Key: a.Key})
 	// The dial took time: a drain may have come. Nothing new goes to an engine
 	// that the list no longer calls ready.
 	if ctx.Err() != nil || !a.Ready() {
 		p.lane.put(c)
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
 	}
-	res, err := p.converse(ctx, c, q)
+	res, err := p.converse(ctx, c, q, a.Note)
 	if err == nil {
 		return result(res)
 	}
@@ -83,10 +83,10 @@
 // converse feeds the query's machine until it ends. What is lost or spoilt on the
 // way is asked for again on a fresh connection: that starts nothing, so it is safe
 // for loads too.
-func (p *paged) converse(ctx context.Context, c *link, q *engine.Query) (*engine.Result, error) {
+func (p *paged) converse(ctx context.Context, c *link, q *engine.Query, note func(decide.ProgressKind, float64)) (*engine.Result, error) {
 	out := q.Begin()
 	for lost := 0; ; {
-		step, heard, err := p.exchange(ctx, c, q, out)
+		step, heard, err := p.exchange(ctx, c, q, out, note)
 		if heard {
 			lost = 0
 		}
@@ -109,12 +109,15 @@
 
 // exchange writes and reads on one connection until the query ends or needs another,
 // and hands it back. Heard tells whether any answer was good.
-func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte) (step engine.Step, heard bool, err error) {
+func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte, note func(decide.ProgressKind, float64)) (step engine.Step, heard bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	for step.Result == nil && !step.Fresh && err == nil {
 		step, err = p.call(ctx, c, q, out)
 		heard = heard || err == nil
 		out = step.Out
+		if n := step.Note; err == nil && n != nil {
+			note(progressKinds[n.Kind], n.Value)
+		}
 	}
 	if stop() && step.Keep {
 		p.lane.put(c)
@@ -124,6 +127,9 @@
 	return step, heard, err
 }
 
+var progressKinds = map[engine.NoteKind]decide.ProgressKind{engine.SoFar: decide.ProgressShare,
+	engine.Lacking: decide.ProgressSpills, engine.Waiting: decide.ProgressWaits}
+
 // call writes one call and reads its answer, which must be whole by the limit.
 func (p *paged) call(ctx context.Context, c *link, q *engine.Query, out []byte) (engine.Step, error) {
 	deadline := time.Now().Add(answerLimit)
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -50,7 +50,7 @@
 			return routing.Result{Outcome: decide.OutcomeNotSent, Why: err.Error()}
 		}
 	}
-	q := rest.NewQuery(e.addr, rest.Start{Call: a.Call, Class: a.Class, User: e.user, Statement: a.Statement, Timeout: a.Timeout,
+	q := rest.NewQuery(e.addr, rest.Start{Call: a.Call, Class: a.Class, User: e.user, Statement: a.Statement, Timeout: a.Timeout, Key: a.Key,
 		Stream: a.Sink != nil})
 	res, err := e.converseRest(ctx, c, q, a.Sink)
 	if res != nil {
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -220,8 +220,8 @@
 	if err := f.Core.Usable(n, class.Deadline, m.WorkMS, m.MemoryMB); err != nil {
 		return rest.Plain(400, err.Error())
 	}
-	if class.Repeat == decide.RepeatOnce && m.Key == "" {
-		return rest.Plain(400, rest.HeaderKey+" is needed: this class must never run twice")
+	if class.Repeat != decide.RepeatSafe && m.Key == "" {
+		return rest.Plain(400, rest.HeaderKey+" is needed: this class must not run twice")
 	}
 	if f.Take != nil && !f.Take(at, oncall.Expect(m.WorkMS, class.Threads, class.Aim)) {
 		g.sentAway()
@@ -262,7 +262,8 @@
 			return refusal(row.ID, f.comeBack(err))
 		}
 	}
-	to := routing.Query{Call: row.ID, Class: n, Statement: m.Body, Deadline: deadline, Work: m.WorkMS, MemoryMB: m.MemoryMB}
+	to := routing.Query{Call: row.ID, Class: n, Statement: m.Body, Deadline: deadline, Work: m.WorkMS, MemoryMB: m.MemoryMB,
+		Key: m.Key}
 	if q.spool != nil {
 		to.Sink = q
 	}
