--- a/decide/decide.go
+++ b/decide/decide.go
@@ -209,7 +209,7 @@
 		g.now-e.fullAt < trialAims*g.beat
 }
 
-// holds is the memory that a query takes: what it needs, or what engines that heed no grant give by themselves.
+// holds is the memory that a query takes: its need or, with no grants heeded, what engines give it.
 func (g *Gateway) holds(r *request) float64 {
 	if !g.set.GrantsHeeded {
 		return r.MemoryMB * ownGrant
@@ -806,7 +806,8 @@
 	}
 	first := r.lifeAt == r.sentAt
 	r.lifeAt, r.on.lifeAt = g.now, g.now
-	if c := g.classes[r.Class]; ev.Kind == ProgressSpills && r.MemoryMB > 0 && !g.set.CostTold && g.set.GrantsHeeded {
+	teaches := g.set.GrantsHeeded && !g.set.CostTold && r.MemoryMB > 0
+	if c := g.classes[r.Class]; ev.Kind == ProgressSpills && teaches {
 		c.spills++ // no answer tells the need, but what a spill lacks does
 		need := (r.mem*grantOver + ev.Value) / r.MemoryMB
 		blend(&c.memBias, min(need, outlierCap*c.memBias), max(learnRate, 1/(c.spills+priorSamples)))
