--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1390,7 +1390,7 @@
 	}
 	for i := range 5 { // what engines grant by themselves still counts: 16 GB hold two queries of 7,500 MB
 		id := RequestID(fmt.Sprint("m", i))
-		s.at(now, Arrived{ID: id, Class: 0, Group: 1, Left: 3000, Cost: 100, MemoryMB: 6000})
+		s.at(now, Arrived{ID: id, Class: 1, Group: 1, Left: 15000, Cost: 4000, MemoryMB: 6000})
 		if sent := s.sentTo(id) != 0; sent != (i < 4) {
 			t.Fatalf("query %d at two engines: sent %t", i, sent)
 		}
