Class bounds bind at the knee of what all gateways have out, not at 1.7 times the best

Ruled out: the rounding of the bound to whole queries (no change), the bound's own height (1.0 to 1.75 alike once pressed is right), the short bound, the reserve for peers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,9 @@
 	longRatio     = 4.0   // a class is long if its usual work is this many times the least of any class
 	longThreads   = 1.25  // threads a core for all long classes: near where engines do most
 	shortThreads  = 2.0   // the wide bound of short classes, whose queries leave soon
-	busyStretch   = 1.7   // latency over its best that counts as pressure
+	kneeThreads   = 1.75  // threads a core past which engines do less: the middle of what is told
+	busyStretch   = 3.5   // latency over its best that counts as pressure: twice the knee's
+	bestThreads   = 0.75  // threads a core that answers at their best time tell of
 	overdueRatio  = 4.0   // an attempt out this many times its expected time is overdue
 	noteMisses    = 1.6   // periods without a due note that count as silence
 	runawayRatio  = 5.0   // a pace this many times slower than expected is a bad plan
@@ -204,8 +206,13 @@
 // pressed tells whether the class bounds bind at the engine: latency well over its best, a full refusal, or
 // a busy report: the peers' with this gateway's own work out, as latency alone tells too late of a burst.
 func (g *Gateway) pressed(e *engine) bool {
-	out := e.peerThreads + e.threads[0] + e.threads[1]
-	return out >= e.cores*longThreads || e.strain(g) > math.Log(busyStretch) ||
+	out := e.threads[0] + e.threads[1]
+	if len(g.peers) > 0 {
+		out += e.peerThreads
+	} else {
+		out *= float64(g.set.Gateways)
+	}
+	return out >= e.cores*kneeThreads || e.strain(g) > math.Log(busyStretch) ||
 		g.now-e.fullAt < trialAims*g.beat
 }
 
@@ -236,7 +243,7 @@
 	}
 	most, share := e.cores*[2]float64{shortThreads, longThreads}[k], 1/float64(g.set.Gateways)
 	if g.thin() {
-		there, used := math.Exp(e.strain(g))*e.cores*longThreads/busyStretch, g.toldMem*meanPart
+		there, used := math.Exp(e.strain(g))*e.cores*bestThreads, g.toldMem*meanPart
 		if g.told > 0 {
 			there = e.cores * g.told * g.meanThreads * meanPart
 		}
