Datagrams between coordinators on the sockets, as peer_listen, peers and peers_all name them

Change: transport.Peers, a thin driver over one UDP socket (SO_REUSEPORT, as an upgrade has both processes on it). A sender is known by its address in peers; what comes from strangers, is longer than 256 bytes or can't be read is counted, told once a kind, and never reaches the module. Without peer_listen, or where the settings forbid it, nothing is opened and the module does not tell.

--- a/cmd/aniseloft/second_test.go
+++ b/cmd/aniseloft/second_test.go
@@ -1,12 +1,20 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"net"
+	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"aniseloft/decide"
 )
 
 // secondSettings differ from the first deployment's in every switch: no probes, priorities, grants, told
@@ -61,3 +69,58 @@
 	require.Equal(t, 400, p.post("timetable-load", "", "insert into s_1.x").status)
 	require.Zero(t, e.count(&e.started, "insert into s_1.x"))
 }
+
+// udpAddr is a free address for datagrams on a loopback address of its own.
+func udpAddr(t *testing.T) (*net.UDPConn, string) {
+	n := hosts.Add(1)
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 1, byte(n>>8), byte(n))})
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c, c.LocalAddr().String()
+}
+
+// No datagram was ever sent or taken: coordinators that may talk knew nothing of each other. What comes from
+// strangers, is too long or can't be read is counted, told once a kind, and changes nothing.
+func TestCoordinatorsThatMayTalkAreHeard(t *testing.T) {
+	t.Parallel()
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	peer, peerAt := udpAddr(t)
+	stranger, _ := udpAddr(t)
+	own, ownAt := udpAddr(t)
+	own.Close()
+	p := &node{t: t, dir: t.TempDir(), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{},
+		set:   strings.Replace(secondSettings, `"balancers":1`, `"balancers":2`, 1),
+		limit: 128,
+		more:  fmt.Sprintf(`"peer_listen":%q,"peers":[%q,%q],"peers_all":%q,`, ownAt, ownAt, peerAt, peerAt)}
+	p.configure(j)
+	p.start(os.Environ())
+	c := dial(t, p.listen)
+	c.send(query(1, "ridership-report", "stay", 9000))
+	require.NoError(t, peer.SetReadDeadline(time.Now().Add(patience)))
+	var b [512]byte
+	n, from, err := peer.ReadFromUDP(b[:])
+	require.NoError(t, err)
+	require.Equal(t, ownAt, from.String(), "a peer is known by the address that it sends from")
+	require.LessOrEqual(t, n, 256)
+	require.True(t, decide.WellFormed(b[:n]))
+	tell := func(c *net.UDPConn, text string) {
+		_, err := c.WriteToUDP([]byte(text), from)
+		require.NoError(t, err)
+	}
+	good := string(b[:n])
+	eventually(t, func() bool { // any may be lost
+		tell(peer, good)
+		tell(stranger, good)
+		tell(peer, good[:n-1])
+		tell(peer, "\x07"+good[1:])
+		tell(peer, strings.Repeat(good, 300))
+		require.NoError(t, p.Process.Signal(syscall.SIGUSR1))
+		found := regexp.MustCompile(`counters peers sent=[1-9]\d* unsent=0 heard=[1-9]\d* stranger=[1-9]\d* oversize=[1-9]\d* unreadable=[1-9]`)
+		return found.MatchString(p.logged())
+	})
+	for _, kind := range []string{"stranger", "oversize", "unreadable"} {
+		require.Equal(t, 1, strings.Count(p.logged(), "kind="+kind), "one line a kind")
+	}
+	require.Equal(t, "a\tb\tc\n", served(t, c.call(query(2, "trip-lookup", "x", 9000))))
+}
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -424,6 +424,7 @@
 	rest   string
 	admin  string // the operators' address
 	set    string // the settings; empty: the first deployment's
+	more   string // further members of the configuration
 	limit  int    // descriptors; 0: 64
 	log    *bytes.Buffer
 	mu     sync.Mutex
@@ -514,8 +515,8 @@
 
 // configure writes the configuration with j for its journal service.
 func (p *node) configure(j *journal) {
-	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":32,"sockets":%d},"journal":%q,"known":%s,"settings":%s}`,
-		p.listen, p.admin, max(p.limit, 64), j.Listener.Addr(), j.batch(0), cmp.Or(p.set, settings)))
+	p.write(fmt.Sprintf(`{"name":"n0","listen":%q,"admin":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":32,"sockets":%d},"journal":%q,"known":%s,%s"settings":%s}`,
+		p.listen, p.admin, max(p.limit, 64), j.Listener.Addr(), j.batch(0), p.more, cmp.Or(p.set, settings)))
 }
 
 func (p *node) write(conf string) {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -29,9 +29,14 @@
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Journal string              `json:"journal"`
-	Known   journal.Batch       `json:"known"`
-	Raw     jsoniter.RawMessage `json:"settings"`
+	// Where datagrams of other coordinators come, the address of each by its number, and
+	// one that reaches all. Empty: there is no such way.
+	PeerListen string              `json:"peer_listen"`
+	Peers      []string            `json:"peers"`
+	PeersAll   string              `json:"peers_all"`
+	Journal    string              `json:"journal"`
+	Known      journal.Batch       `json:"known"`
+	Raw        jsoniter.RawMessage `json:"settings"`
 
 	settings decide.Settings
 	seed     uint64
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -79,6 +79,7 @@
 	pool     *transport.Pool
 	stop     context.CancelFunc
 	admin    *transport.Listener // nil where there is no second address
+	peers    *transport.Peers    // nil where coordinators may not talk
 	drain    drain
 	state    *stateFile
 	live     *live
@@ -182,6 +183,14 @@
 	clients := limits.Sockets / 3
 	callers := min(max(int(float64(limits.Sockets)*adminShare), 1), transport.AdminConnections)
 	own := ownDescriptors + max(callers-callersInOwn, 0)
+	if s.MayTell && p.conf.PeerListen != "" {
+		own++
+		if p.peers, err = transport.ListenPeers(p.conf.PeerListen, p.conf.Peers, p.conf.PeersAll, s.Self, p.log); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+	} else {
+		s.MayTell = false // the module would pay for what nobody hears
+	}
 	restClients := 0
 	if restConf.Listen != "" {
 		restClients = clients / 4 // both fronts together keep to the clients' third
@@ -195,6 +204,9 @@
 		Rest: restKinds(restConf), User: p.conf.Name}, p.log, int(p.memory(statementShare))); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	if p.peers != nil {
+		p.core.Peers = p.peers
+	}
 	p.live = registerLive(os.TempDir())
 	p.state = newStateFile()
 	p.readState(p.state, true)
@@ -218,6 +230,9 @@
 		}
 	}
 	go p.core.Run(ctx)
+	if p.peers != nil {
+		go p.peers.Run(ctx, p.core.Heard)
+	}
 	p.roster.Known(p.conf.Known)
 	go p.roster.Run(ctx)
 	go p.front.Run()
@@ -322,6 +337,9 @@
 
 func (p *Program) printCounters() {
 	text := p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall()
+	if p.peers != nil {
+		text += p.peers.String()
+	}
 	if p.restFront != nil {
 		text += p.restFront.String()
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -42,6 +42,7 @@
 	takenAt  atomic.Int64
 	hand     *hand
 	Counts   *Counters
+	Peers    Peers // set before Run; nil: there is no way to other coordinators
 }
 
 // request is a query with what became of it.
@@ -340,6 +341,10 @@
 		time.AfterFunc(ms(a.After), func() { c.post(func() { c.handle(decide.TimerFired{Token: token}) }) })
 	case decide.Probe:
 		c.probe(a.Engine)
+	case decide.Tell:
+		if c.Peers != nil {
+			c.Peers.Tell(a.To, a.Data)
+		}
 	case decide.Log:
 		c.log.Info(a.Text)
 	}
@@ -464,6 +469,11 @@
 	}()
 }
 
+// Heard brings a message of another coordinator.
+func (c *Core) Heard(from int, data []byte) {
+	c.post(func() { c.handle(decide.PeerHeard{From: from, Data: data}) })
+}
+
 // List brings news of the list of engines.
 func (c *Core) List(kind decide.ListKind, members []Member) {
 	c.post(func() { c.listed(kind, members) })
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -98,6 +98,12 @@
 	Close()
 }
 
+// Peers carries the module's messages to other coordinators, as far as they get.
+type Peers interface {
+	// Tell sends to one coordinator by its number, or to decide.Everyone else. It must not block.
+	Tell(to int, data []byte)
+}
+
 // Member is one line of the list of engines.
 type Member struct {
 	decide.EngineEntry
