--- a/cmd/aniseloft/main.go
+++ b/cmd/aniseloft/main.go
@@ -7,4 +7,4 @@
 	"aniseloft/internal/program"
 )
 
-func main() { os.Exit(program.Run(os.Stderr)) }
+func main() { os.Exit(program.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/aniseloft/second_test.go
+++ b/cmd/aniseloft/second_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -124,3 +125,38 @@
 	}
 	require.Equal(t, "a\tb\tc\n", served(t, c.call(query(2, "trip-lookup", "x", 9000))))
 }
+
+func TestTheCommandLineAnswers(t *testing.T) {
+	for args, want := range map[string]struct {
+		code int
+		says string
+	}{
+		"--help":    {0, "LB_CONFIG=example/config.json aniseloft"},
+		"--version": {0, "aniseloft "},
+		"--serve":   {2, `"--serve" is not understood`},
+		"":          {1, "LB_CONFIG is not set"},
+	} {
+		c := exec.Command(binary, strings.Fields(args)...)
+		c.Env = []string{"GORACE=atexit_sleep_ms=0"}
+		out, _ := c.CombinedOutput()
+		require.Equal(t, want.code, c.ProcessState.ExitCode(), args)
+		require.Contains(t, string(out), want.says)
+	}
+}
+
+// A field that is not known, or not followed as it stands, was passed over in silence.
+func TestTheStartTellsWhatItDoesNotFollow(t *testing.T) {
+	t.Parallel()
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	p := runSet(t, t.TempDir(), j, "", 600, `{}`, strings.Replace(secondSettings, `"me":0`, `"me":0,"fancy":[1,2]`, 1))
+	require.Contains(t, p.logged(), `msg=settings field=fancy value=[1,2] says="this program does not know the field" then="it is passed over"`)
+	p = &node{t: t, dir: t.TempDir(), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{},
+		set: strings.Replace(secondSettings, `"me":0`, `"me":4`, 1)}
+	p.configure(j)
+	c := exec.Command(binary)
+	c.Env = []string{"LB_CONFIG=" + filepath.Join(p.dir, "config.json")}
+	out, err := c.CombinedOutput()
+	require.Error(t, err)
+	require.Contains(t, string(out), "aniseloft: configuration: me = 4: not among the gateways; the program does not start")
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,7 +73,7 @@
 	if err := check(&s); err != nil {
 		return nil, err
 	}
-	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 1)), engines: map[EngineID]*engine{},
+	g := &Gateway{set: followed(s), rng: rand.New(rand.NewPCG(seed, 1)), engines: map[EngineID]*engine{},
 		requests: map[RequestID]*request{}, loading: map[uint64]int{},
 		keys: map[uint64]*keyLine{}, peers: map[int]peerWord{},
 		logAt: never, toldSeen: never, wokeAt: never, askAt: never, bucketAt: never, trialSeq: -trialEach,
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -479,11 +479,11 @@
 
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for want, spoil := range map[string]func(*Settings){
-		"gateways: at least one is needed": func(s *Settings) { s.Gateways = 0 },
-		"self: not among the gateways":     func(s *Settings) { s.Self = 7 },
-		"classes: none given":              func(s *Settings) { s.Classes = nil },
-		"tick: must be above 0":            func(s *Settings) { s.Tick = 0 },
-		"kinds[0]: cores: must be above 0": func(s *Settings) { s.Kinds[0].Cores = 0 },
+		"Gateways: at least one is needed": func(s *Settings) { s.Gateways = 0 },
+		"Self: not among the gateways":     func(s *Settings) { s.Self = 7 },
+		"Classes: none given":              func(s *Settings) { s.Classes = nil },
+		"Tick: must be above 0":            func(s *Settings) { s.Tick = 0 },
+		"Kinds[0].Cores: must be above 0":  func(s *Settings) { s.Kinds[0].Cores = 0 },
 	} {
 		set := plainSettings()
 		spoil(&set)
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -10,13 +10,14 @@
 
 	"aniseloft/internal/emulator/scenario"
 	"aniseloft/internal/logconf"
+	"aniseloft/internal/nodeconf"
 	"aniseloft/internal/restconf"
 	"aniseloft/internal/wire"
 	"aniseloft/schema"
 )
 
 func checks() *cobra.Command {
-	return group("check", "Check an operators' file before it is used", checkRest(), checkLog())
+	return group("check", "Check an operators' file before it is used", checkConfig(), checkRest(), checkLog())
 }
 
 func checkRest() *cobra.Command {
@@ -32,6 +33,23 @@
 	return c
 }
 
+func checkConfig() *cobra.Command {
+	c := checkFile("config", "the file that LB_CONFIG names", func(file string, raw []byte) (scenario.Faults, error) {
+		var faults scenario.Faults
+		_, found := nodeconf.Parse(raw, nodeconf.Override{})
+		for _, f := range found {
+			faults = append(faults, scenario.Fault{File: file, Pointer: f.Field, Problem: f.Value + ": " + f.Says, Mend: f.Then})
+		}
+		return faults, nil
+	})
+	c.Use, c.Args = "config FILE", cobra.ExactArgs(1)
+	c.Example = "  aniseloftctl check config /run/balancer/config.json\n  aniseloftctl check config config.json --json"
+	c.Long = "Tells all at once what a coordinator would find wrong with its configuration, without starting one: what ends the " +
+		"start, and what is passed over or followed in another way than it stands. docs/settings.md has every field. " +
+		"Exit code 2 where there is anything; nothing is changed."
+	return c
+}
+
 func checkLog() *cobra.Command {
 	c := checkFile("log", logconf.File, func(file string, raw []byte) (scenario.Faults, error) {
 		return formFaults(file, raw, schema.Log)
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -29,6 +29,13 @@
 		{[]string{"check", "log", file(t, "log.json", `{"level":"debug","counters_every_ms":5000}`)}, ExitOK, "fine"},
 		{[]string{"check", "log", file(t, "log.json", `{"level":"loud"}`)}, ExitUsage, "/level: value must be one of 'info', 'debug'"},
 		{[]string{"check", "log", file(t, "log.json", `{"counters_every_ms":5}`)}, ExitUsage, "/counters_every_ms"},
+		{[]string{"check", "config", "../../example/config.json"}, ExitOK, "fine"},
+		{[]string{"check", "config", file(t, "conf.json", `{"listen":"host:8443","admin":"host:8443","seed":"x","limits":{"memory_mb":8,"sockets":99},"settings":{"colour":1}}`)},
+			ExitUsage, "conf.json: 12 faults"},
+		{[]string{"check", "config", file(t, "conf.json", `{"listen":"host:8443"}`)}, ExitUsage,
+			"conf.json: listen: host:8443: an address as 127.0.0.1:8443 is needed"},
+		{[]string{"check", "config", file(t, "conf.json", `{`)}, ExitUsage, "configuration: unreadable"},
+		{[]string{"check", "config"}, ExitUsage, "arg(s)"},
 		{[]string{"check", "rest", "/no/such.json"}, ExitUsage, "no such file"},
 		{[]string{"check", "rest", bad, "--config", "/no/such.json"}, ExitUsage, "clas_mb"},
 	} {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -6,84 +6,27 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"strconv"
 
-	jsoniter "github.com/json-iterator/go"
-
-	"aniseloft/decide"
 	"aniseloft/internal/logconf"
-	"aniseloft/internal/protocol/journal"
+	"aniseloft/internal/nodeconf"
 	"aniseloft/internal/wire"
 )
 
-var configJSON = jsoniter.Config{CaseSensitive: true}.Froze()
-
-// config is the file that LB_CONFIG names.
-type config struct {
-	Name   string `json:"name"`
-	Listen string `json:"listen"`
-	Admin  string `json:"admin"` // the operators' second address; empty: none
-	Seed   string `json:"seed"`
-	Limits struct {
-		Cores    float64 `json:"cores"`
-		MemoryMB int64   `json:"memory_mb"`
-		Sockets  int     `json:"sockets"`
-	} `json:"limits"`
-	// Where datagrams of other coordinators come, the address of each by its number, and
-	// one that reaches all. Empty: there is no such way.
-	PeerListen string              `json:"peer_listen"`
-	Peers      []string            `json:"peers"`
-	PeersAll   string              `json:"peers_all"`
-	Journal    string              `json:"journal"`
-	Known      journal.Batch       `json:"known"`
-	Raw        jsoniter.RawMessage `json:"settings"`
-
-	settings decide.Settings
-	seed     uint64
-}
-
-// load reads the configuration; the environment's name and address win.
-func load() (*config, error) {
+// load reads the file that LB_CONFIG names; the environment's name and addresses win.
+func load() (*nodeconf.Config, []wire.Finding, error) {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
-		return nil, errors.New("LB_CONFIG is not set")
+		return nil, nil, errors.New("LB_CONFIG is not set: it names the configuration; aniseloft --help tells more")
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	var c config
-	if err := configJSON.Unmarshal(raw, &c); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	if v := os.Getenv("LB_LISTEN"); v != "" {
-		c.Listen = v
-	}
-	if v := os.Getenv("LB_ADMIN"); v != "" {
-		c.Admin = v
-	}
-	if v := os.Getenv("LB_NAME"); v != "" {
-		c.Name = v
-	}
-	switch {
-	case c.Listen == "":
-		return nil, errors.New("configuration: listen is missing")
-	case c.Journal == "":
-		return nil, errors.New("configuration: journal is missing")
-	case c.Limits.MemoryMB < 32:
-		return nil, errors.New("configuration: limits.memory_mb: at least 32 is needed")
-	case c.Limits.Sockets < 64:
-		return nil, errors.New("configuration: limits.sockets: at least 64 is needed")
-	case len(c.Raw) == 0:
-		return nil, errors.New("configuration: settings are missing")
-	}
-	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("configuration: seed: %w", err)
+		return nil, nil, fmt.Errorf("configuration: %w", err)
 	}
-	if c.settings, err = wire.Settings(c.Raw); err != nil {
-		return nil, fmt.Errorf("configuration: settings: %w", err)
+	c, found := nodeconf.Parse(raw, nodeconf.Override{Name: os.Getenv("LB_NAME"), Listen: os.Getenv("LB_LISTEN"), Admin: os.Getenv("LB_ADMIN")})
+	if err := nodeconf.Err(found); err != nil {
+		return nil, found, fmt.Errorf("configuration: %w (aniseloftctl check config %s tells all at once)", err, path)
 	}
-	return &c, nil
+	return c, found, nil
 }
 
 // loadLog reads what is to be logged; where there is no file, only what on-call staff need.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -16,12 +16,14 @@
 	"time"
 
 	"aniseloft/internal/logconf"
+	"aniseloft/internal/nodeconf"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/restconf"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/spool"
 	"aniseloft/internal/store"
 	"aniseloft/internal/transport"
+	"aniseloft/internal/wire"
 )
 
 // Phase is where the program stands between start and exit.
@@ -68,7 +70,7 @@
 type Program struct {
 	phase    atomic.Int32
 	since    time.Time // when it entered the phase
-	conf     *config
+	conf     *nodeconf.Config
 	logConf  logconf.Config
 	log      *slog.Logger
 	logLevel *slog.LevelVar
@@ -153,13 +155,17 @@
 
 func (p *Program) start() error {
 	var err error
-	if p.conf, err = load(); err != nil {
+	var found []wire.Finding
+	if p.conf, found, err = load(); err != nil {
 		return err
 	}
 	if p.logConf, err = loadLog(); err != nil {
 		return err
 	}
 	p.logLevel.Set(p.logConf.Level)
+	for _, f := range found {
+		p.log.Warn("settings", "field", f.Field, "value", f.Value, "says", f.Says, "then", f.Then)
+	}
 	limits := p.conf.Limits
 	// What is live is small beside the limit: collecting at each doubling of it would
 	// spend a good part of the one core. The limit makes collection frequent when it must be.
@@ -168,7 +174,7 @@
 	if limits.Cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.NumCPU(), max(int(math.Ceil(limits.Cores)), 1)))
 	}
-	s := p.conf.settings
+	s := p.conf.Settings
 	connect, idle := 250*time.Millisecond, 10*time.Second
 	if s.ConnectTimeout > 0 {
 		connect = time.Duration(s.ConnectTimeout * float64(time.Millisecond))
@@ -200,7 +206,7 @@
 	// open another's: a dial for a query. Some are left idle.
 	s.MostOut = int(float64(limits.Sockets-clients-own-besideQueries) * outShare)
 	s.MostOut = min(s.MostOut, int(p.memory(resultShare)/engine.MaxResult))
-	if p.core, err = routing.NewCore(s, p.conf.seed, transport.ByKind{Pool: p.pool, Kinds: s.KindNames,
+	if p.core, err = routing.NewCore(s, p.conf.Random, transport.ByKind{Pool: p.pool, Kinds: s.KindNames,
 		Rest: restKinds(restConf), User: p.conf.Name}, p.log, int(p.memory(statementShare))); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
@@ -316,12 +322,12 @@
 // reload reads the configuration again and moves to the journal service that it
 // names. A file that can't be used changes nothing; it must not end what serves.
 func (p *Program) reload() {
-	c, err := load()
+	c, _, err := load()
 	if err != nil {
 		p.log.Error("configuration not reloaded, the old one stays", "err", err)
 		return
 	}
-	if !reflect.DeepEqual(c.settings, p.conf.settings) || c.Limits != p.conf.Limits || c.Listen != p.conf.Listen {
+	if !reflect.DeepEqual(c.Settings, p.conf.Settings) || c.Limits != p.conf.Limits || c.Listen != p.conf.Listen {
 		p.log.Warn("only the journal's address is reloaded: other changes need a restart")
 	}
 	p.conf.Journal = c.Journal
--- a/internal/program/rest.go
+++ b/internal/program/rest.go
@@ -40,7 +40,7 @@
 		return nil, nil
 	}
 	opt := spool.Options{SegmentBytes: spoolSegment, Now: func() float64 { return float64(time.Now().UnixMicro()) / 1000 },
-		Limits: c.Spool.Limits(float64(c.KeepSeconds)*1000, p.conf.settings.MaxComeBack), Pack: c.Spool.Pack}
+		Limits: c.Spool.Limits(float64(c.KeepSeconds)*1000, p.conf.Settings.MaxComeBack), Pack: c.Spool.Pack}
 	var m spool.Medium = spool.NewMemory()
 	if c.Spool.Directory != "" {
 		d, err := spool.OpenDirectory(c.Spool.Directory)
--- /dev/null
+++ b/internal/wire/fields_test.go
@@ -0,0 +1,187 @@
+package wire
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/types"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/tools/go/packages"
+
+	"aniseloft/decide"
+)
+
+var update = flag.Bool("update", false, "write docs/settings.md anew")
+
+const page = "../../docs/settings.md"
+
+// readers tells which packages read which field of decide's settings, from the code itself.
+func readers(t *testing.T) map[string][]string {
+	loaded, err := packages.Load(&packages.Config{Mode: packages.NeedName | packages.NeedSyntax | packages.NeedTypes |
+		packages.NeedTypesInfo | packages.NeedImports, Dir: "../.."}, "./decide", "./internal/routing", "./internal/transport", "./internal/program")
+	require.NoError(t, err)
+	of := map[string][]string{}
+	for _, p := range loaded {
+		require.Empty(t, p.Errors)
+		for _, file := range p.Syntax {
+			// Checking, and writing a field, is no use of it.
+			if name := p.Fset.Position(file.Pos()).Filename; strings.HasSuffix(name, "decide/settings.go") {
+				continue
+			}
+			written := map[*ast.SelectorExpr]bool{}
+			ast.Inspect(file, func(n ast.Node) bool {
+				if a, ok := n.(*ast.AssignStmt); ok {
+					for _, l := range a.Lhs {
+						if s, ok := l.(*ast.SelectorExpr); ok {
+							written[s] = true
+						}
+					}
+				}
+				s, ok := n.(*ast.SelectorExpr)
+				if !ok || written[s] {
+					return true
+				}
+				v, ok := p.TypesInfo.Uses[s.Sel].(*types.Var)
+				if !ok || !v.IsField() {
+					return true
+				}
+				for _, owner := range []string{"Settings", "Class", "Rules", "Kind", "Tenant"} {
+					if v.Pkg().Path() == "aniseloft/decide" && has(v, owner) {
+						name, by := owner+"."+v.Name(), strings.TrimPrefix(p.PkgPath, "aniseloft/")
+						if !slices.Contains(of[name], by) {
+							of[name] = append(of[name], by)
+						}
+					}
+				}
+				return true
+			})
+		}
+	}
+	return of
+}
+
+// has tells whether the field belongs to that type of decide.
+func has(v *types.Var, owner string) bool {
+	st, ok := v.Pkg().Scope().Lookup(owner).Type().Underlying().(*types.Struct)
+	if !ok {
+		return false
+	}
+	for i := range st.NumFields() {
+		if st.Field(i).Pos() == v.Pos() {
+			return true
+		}
+	}
+	return false
+}
+
+// What a part of the program reads of the settings has a row in the table, and the page is the table.
+func TestSettingsPageIsDrawnFromTheCode(t *testing.T) {
+	of := readers(t)
+	require.Greater(t, len(of), 40, "the search finds what is read")
+	rows := map[string]bool{}
+	for _, f := range Fields {
+		rows[f.Into] = true
+		require.NotEmpty(t, f.Changes, f.Path)
+		require.Equal(t, f.Into != "", f.Absent != "", f.Path)
+	}
+	// MostOut is the program's own bound, from its limits; Rationed is the presence of its field.
+	own := []string{"Settings.MostOut", "Rules.Rationed", "Settings.Classes", "Settings.Kinds", "Settings.Tenants", "Settings.Rules"}
+	for name := range of {
+		require.True(t, rows[name] || slices.Contains(own, name), "%s is read and has no row in wire.Fields", name)
+	}
+	var b strings.Builder
+	b.WriteString("# Settings\n\nThe `settings` of a coordinator's configuration: each field, which part reads it, what it changes and what its absence\n" +
+		"means. This page is drawn from `internal/wire/fields.go` and from the code that reads each field; a test holds it to both\n" +
+		"(`go test ./internal/wire -run SettingsPage -update` writes it anew). `aniseloftctl check config FILE` tells what is\n" +
+		"wrong with a configuration; a field that is not here is passed over, with a line in the log.\n\n" +
+		"| field | read by | what it changes | absent |\n| --- | --- | --- | --- |\n")
+	for _, f := range Fields {
+		by := slices.Clone(of[f.Into])
+		slices.Sort(by)
+		what := strings.Join(by, ", ")
+		if f.Into == "" || what == "" {
+			what = "-"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", f.Path, what, f.Changes, f.Absent)
+	}
+	if *update {
+		require.NoError(t, os.WriteFile(page, []byte(b.String()), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Equal(t, b.String(), string(got), "the page is out of date: run with -update")
+}
+
+// Each field that the decoder takes has a row, and each row that is said to be read is decoded.
+func TestEveryDecodedFieldHasARow(t *testing.T) {
+	var paths []string
+	var walk func(of reflect.Type, at string)
+	walk = func(of reflect.Type, at string) {
+		switch of.Kind() {
+		case reflect.Pointer:
+			walk(of.Elem(), at)
+		case reflect.Slice:
+			walk(of.Elem(), at+"[]")
+		case reflect.Struct:
+			for i := range of.NumField() {
+				f := of.Field(i)
+				walk(f.Type, strings.TrimPrefix(at+"."+f.Tag.Get("json"), "."))
+			}
+		default:
+			paths = append(paths, at)
+		}
+	}
+	walk(reflect.TypeFor[params](), "")
+	var read []string
+	for _, f := range Fields {
+		if f.Into != "" {
+			read = append(read, f.Path)
+		}
+	}
+	slices.Sort(paths)
+	slices.Sort(read)
+	require.Equal(t, paths, read)
+}
+
+func TestInspectTellsAllAtOnce(t *testing.T) {
+	raw := `{"balancers":2,"me":5,"tickMs":5,"novel":{"x":1},"machineTypes":["std-16"],"zones":["a"],
+	 "bounds":{"sendCap":3,"maxRetryAfterMs":-5,"retryAfter":true,"fast":true},
+	 "domain":{"sizeCores":[16,0],"kindMemoryMb":[-1],"classThreads":[1,2],"progressMs":-1,"grantsCount":true},
+	 "lanes":[{"name":"a","promiseMs":500,"deadlineMs":300,"repeat":"by_key","gain":0,"confinedTo":[4]},
+	  {"name":"b","promiseMs":0,"deadlineMs":300,"repeat":"repeatable","gain":1,"colour":"red"}],
+	 "rules":{"coldMs":1000,"repeatRatio":-1},"registryMode":"push"}`
+	var lines []string
+	for _, f := range Inspect([]byte(raw)) {
+		lines = append(lines, f.String())
+	}
+	require.Equal(t, []string{
+		`me = 5: not among the gateways; the program does not start`,
+		`rules.resendSpanMs = absent: must be above 0; the program does not start`,
+		`rules.repeatRatio = -1: must be 0 or more; the program does not start`,
+		`domain.sizeCores[1] = 0: must be above 0; the program does not start`,
+		`lanes[1].promiseMs = 0: must be above 0; the program does not start`,
+		`domain.kindMemoryMb[0] = -1: must be 0 or more; memory bounds nothing there`,
+		`lanes[0].gain = 0: the class is worth nothing; it goes behind all others`,
+		`lanes[0].promiseMs = 500: beyond the deadline; an answer counts until the client leaves`,
+		`lanes[0].repeatWindowMs = absent: no time in which a key protects; what may have run is not sent again`,
+		`lanes[0].confinedTo = [4]: names no zone that there is; every request of the class is refused`,
+		`domain.mostGrant = absent: grants are heeded and none may be made; none is named`,
+		`domain.progressMs = -1: must be 0 or more; read as no notes`,
+		`bounds.maxRetryAfterMs = -5: must be 0 or more; no time is told`,
+		`rules.coldFrom = absent: a cold engine bears nothing by these figures; it gets nothing until it is warm`,
+		`bounds.fast = true: this program does not know the field; it is passed over`,
+		`lanes[1].colour = "red": this program does not know the field; it is passed over`,
+		`novel = {"x":1}: this program does not know the field; it is passed over`,
+	}, lines)
+	require.True(t, Inspect([]byte(`[`))[0].Fatal)
+	require.Equal(t, `settings = as given: field lanes.repeat: "maybe" is unknown; the program does not start`,
+		Inspect([]byte(`{"lanes":[{"repeat":"maybe"}]}`))[0].String())
+	_, err := decide.New(decide.Settings{}, 1)
+	require.Error(t, err)
+}
--- /dev/null
+++ b/internal/wire/inspect.go
@@ -0,0 +1,163 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"aniseloft/decide"
+)
+
+// Finding is one thing that settings say and the program can't, or won't, follow.
+type Finding struct {
+	Field string `json:"field"`
+	Value string `json:"value"`
+	Says  string `json:"says"` // what is wrong with it
+	Then  string `json:"then"` // what is done about it
+	Fatal bool   `json:"fatal"`
+}
+
+// String is the one line of it.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s = %s: %s; %s", f.Field, f.Value, f.Says, f.Then)
+}
+
+const (
+	endsStart = "the program does not start"
+	valueMost = 60 // bytes of a value that a line shows
+)
+
+// Inspect tells all that is wrong with settings, the fatal things first. What it leaves out is
+// read as docs/settings.md says.
+func Inspect(raw []byte) []Finding {
+	var tree map[string]any
+	if err := json.Unmarshal(raw, &tree); err != nil {
+		return []Finding{{"settings", short(string(raw)), err.Error(), endsStart, true}}
+	}
+	var found []Finding
+	s, err := Settings(raw)
+	if err != nil {
+		found = append(found, Finding{"settings", "as given", err.Error(), endsStart, true})
+	} else {
+		for _, p := range decide.Problems(&s) {
+			path := pathOf(p.Field)
+			f := Finding{path, valueAt(tree, path), p.Says, p.Then, p.Fatal}
+			if p.Fatal {
+				f.Then = endsStart
+			}
+			found = append(found, f)
+		}
+	}
+	known := map[string]bool{}
+	for _, f := range Fields {
+		known[f.Path] = true
+		for i := range f.Path { // what holds it is known too
+			if f.Path[i] == '.' {
+				known[f.Path[:i]] = true
+			}
+		}
+		known[strings.TrimSuffix(f.Path, "[]")] = true
+	}
+	unknown(tree, "", known, &found)
+	slices.SortStableFunc(found, func(a, b Finding) int {
+		if a.Fatal != b.Fatal && a.Fatal {
+			return -1
+		} else if a.Fatal != b.Fatal {
+			return 1
+		}
+		return 0
+	})
+	return found
+}
+
+// unknown finds the fields that Fields lacks, in the order of their names.
+func unknown(v any, at string, known map[string]bool, found *[]Finding) {
+	switch v := v.(type) {
+	case map[string]any:
+		names := make([]string, 0, len(v))
+		for name := range v {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			path := strings.TrimPrefix(at+"."+name, ".")
+			general := plainPath(path)
+			if !known[general] && !known[general+"[]"] {
+				text, _ := json.Marshal(v[name])
+				*found = append(*found, Finding{path, short(string(text)), "this program does not know the field", "it is passed over", false})
+				continue
+			}
+			unknown(v[name], path, known, found)
+		}
+	case []any:
+		for i, one := range v {
+			unknown(one, fmt.Sprintf("%s[%d]", at, i), known, found)
+		}
+	}
+}
+
+// plainPath writes [] for each [N].
+func plainPath(path string) string {
+	var b strings.Builder
+	for {
+		i := strings.IndexByte(path, '[')
+		if i < 0 {
+			return b.String() + path
+		}
+		b.WriteString(path[:i] + "[]")
+		_, path, _ = strings.Cut(path[i:], "]")
+	}
+}
+
+// pathOf is where a field of decide's types, such as Classes[2].Aim, is written.
+func pathOf(field string) string {
+	owner, name, within := strings.Cut(field, ".")
+	base, index, _ := strings.Cut(strings.TrimSuffix(owner, "]"), "[")
+	into := "Settings." + field
+	if within {
+		into = map[string]string{"Classes": "Class", "Kinds": "Kind", "Tenants": "Tenant", "Rules": "Rules"}[base] + "." + name
+	}
+	if base == "Classes" && !within {
+		return "lanes"
+	}
+	if base == "Kinds" && !within {
+		return "domain.sizeCores"
+	}
+	for _, f := range Fields {
+		if f.Into == into {
+			return strings.TrimSuffix(strings.Replace(f.Path, "[]", "["+index+"]", 1), "[]")
+		}
+	}
+	return field
+}
+
+// valueAt is what stands at a path, in short.
+func valueAt(tree any, path string) string {
+	for _, part := range strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
+		switch v := tree.(type) {
+		case map[string]any:
+			tree = v[part]
+		case []any:
+			var i int
+			if _, err := fmt.Sscan(part, &i); err != nil || i < 0 || i >= len(v) {
+				return "absent"
+			}
+			tree = v[i]
+		default:
+			return "absent"
+		}
+	}
+	if tree == nil {
+		return "absent"
+	}
+	text, _ := json.Marshal(tree)
+	return short(string(text))
+}
+
+func short(s string) string {
+	if len(s) > valueMost {
+		return s[:valueMost] + "..."
+	}
+	return s
+}
