Where answers tell no cost, estimates follow the best times, and memory what spills

Change: without told cost the bias is the class's best ratio of latency to estimate, as it is the best latency where there is no estimate; an attempt that ran long enough for a note and brought none of a spill counts as using half of its grant, one that spilled all of it. Tests: both seen to fail without it. TestLotsGoByWorthForWork took 1 ms for all its queries, which now corrects their estimates: they take what they are told to.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,7 +82,8 @@
 	for _, c := range s.Classes {
 		prior := c.Aim * float64(c.Threads)
 		g.beat = min(g.beat, c.Aim)
-		g.classes = append(g.classes, &class{Class: c, work: prior, usual: prior, bias: 1, memBias: 1})
+		k := &class{Class: c, work: prior, usual: prior, bias: 1, memBias: 1, spilled: 1}
+		g.classes = append(g.classes, k)
 	}
 	g.lengths()
 	return g, nil
@@ -219,7 +220,7 @@
 // holds is the memory that a query takes: its need or, with no grants heeded, what engines give it.
 func (g *Gateway) holds(r *request) float64 {
 	if !g.set.GrantsHeeded {
-		return r.MemoryMB * ownGrant
+		return r.MemoryMB * ownGrant * (1 + g.classes[r.Class].spilled) / 2
 	}
 	return r.MemoryMB * g.classes[r.Class].memBias
 }
@@ -582,7 +583,7 @@
 		g.retries = append(g.retries, g.now)
 	}
 	r.attempts++
-	r.on, r.sentAt, r.lifeAt, r.load, r.leaving = e, g.now, g.now, g.expect(r), false
+	r.on, r.sentAt, r.lifeAt, r.load, r.leaving, r.spills = e, g.now, g.now, g.expect(r), false, false
 	r.mem = g.holds(r)
 	if r.mayRunAt == never {
 		r.mayRunAt, r.runAt = g.now, e
@@ -814,6 +815,7 @@
 	first := r.lifeAt == r.sentAt
 	r.lifeAt, r.on.lifeAt = g.now, g.now
 	teaches := g.set.GrantsHeeded && !g.set.CostTold && r.MemoryMB > 0
+	r.spills = r.spills || ev.Kind == ProgressSpills
 	if c := g.classes[r.Class]; ev.Kind == ProgressSpills && teaches {
 		c.spills++ // no answer tells the need, but what a spill lacks does
 		need := (r.mem*grantOver + ev.Value) / r.MemoryMB
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1301,7 +1301,7 @@
 		if r := s.g.requests[id]; r != nil {
 			lot[class], n[class] = lot[class]+r.draw, n[class]+1
 			if r.on != nil {
-				s.at(float64(50*i+1), AttemptEnded{ID: id, Engine: r.on.ID, Outcome: OutcomeServed, Latency: 1, Closed: true})
+				s.at(float64(50*i+1), AttemptEnded{ID: id, Engine: r.on.ID, Outcome: OutcomeServed, Latency: []float64{100, 2000}[class], Closed: true})
 			}
 		}
 	}
@@ -1426,3 +1426,59 @@
 		}
 	}
 }
+
+// Where engines choose their grants, what does not spill holds less than it was granted: counted whole, the
+// memory of a fleet seemed full at half of its load (wien-results, estimates too high by class).
+func TestWhatNeverSpillsHoldsLessThanItsGrant(t *testing.T) {
+	for _, c := range []struct {
+		spills bool
+		sent   int
+	}{{true, 2}, {false, 4}} {
+		set := plainSettings()
+		set.ProgressEvery, set.MemoryShort = 1000, MemoryOvercommit
+		s := newScript(t, set, 1)
+		now := Millis(0)
+		for i := range 80 {
+			id := RequestID(fmt.Sprint("r", i))
+			s.at(now, Arrived{ID: id, Class: 1, Group: 1, Left: 15000, Cost: 4000, MemoryMB: 6000})
+			if c.spills {
+				s.at(now+1000, Progress{ID: id, Kind: ProgressSpills, Value: 900})
+			}
+			s.at(now+1100, AttemptEnded{ID: id, Engine: 1, Outcome: OutcomeServed, Latency: 1100, Closed: true})
+			now += 1200
+		}
+		sent := 0
+		for i := range 6 {
+			id := RequestID(fmt.Sprint("m", i))
+			s.at(now, Arrived{ID: id, Class: 1, Group: 1, Left: 15000, Cost: 4000, MemoryMB: 6000})
+			if s.sentTo(id) != 0 {
+				sent++
+			}
+		}
+		if sent != c.sent {
+			t.Errorf("spills %t: %d queries granted 7,500 MB sent to an engine of 16 GB, not %d", c.spills, sent, c.sent)
+		}
+	}
+}
+
+// No answer tells the work at wien-results, and estimates lie too high or too low by class: taken as they stand, a class
+// told at a quarter of its work made every engine look four times over its best.
+func TestEstimatesAreCorrectedByTheBestTimes(t *testing.T) {
+	for _, told := range []float64{1000, 4000, 16000} {
+		s := newScript(t, plainSettings(), 1)
+		now := Millis(0)
+		for i := range 40 { // all take 1,000 ms on four threads
+			id := RequestID(fmt.Sprint("r", i))
+			s.at(now, Arrived{ID: id, Class: 1, Group: 1, Left: 15000, Cost: told})
+			s.at(now+1000, AttemptEnded{ID: id, Engine: 1, Outcome: OutcomeServed, Latency: 1000, Closed: true})
+			now += 1000
+		}
+		r := &request{Arrived: Arrived{Class: 1, Cost: told}}
+		if u := s.g.unloaded(r); u < 900 || u > 1100 {
+			t.Errorf("told %.0f ms of work: %.0f ms expected on an idle engine, 1,000 taken", told, u)
+		}
+		if b := s.g.Beliefs(now)[0].Strain; b > 0.3 {
+			t.Errorf("told %.0f ms of work: a strain of %.2f at an engine with one query at a time", told, b)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -20,6 +20,7 @@
 	work    float64 // mean work of all threads, ms
 	usual   float64 // mean of what its queries are expected to need
 	spills  float64 // notes of spills
+	spilled float64 // part of the attempts that ran long enough for a note and brought one of a spill
 	told    float64 // queries that came with an estimate
 	bias    float64 // told work over estimate
 	memBias float64 // told memory over estimate
@@ -114,6 +115,7 @@
 	load     float64
 	kind     int // of its class as its attempt began: short or long
 	mem      float64
+	spills   bool      // its attempt has told of a spill
 	suspect  bool      // once cancelled for its pace
 	leaving  bool      // its attempt was cancelled
 	mayRunAt Millis    // earliest attempt that may have run; never: none
@@ -279,12 +281,25 @@
 			blend(&c.memBias, min(ev.MemoryMB/r.MemoryMB, outlierCap*c.memBias), rate)
 		}
 	}
-	lat := math.Log(max(ev.Latency, 0.1))
-	blend(&c.logLat, lat, max(bestRate, 1/float64(c.samples)))
+	lat, rel := math.Log(max(ev.Latency, 0.1)), 0.0
+	if r.Cost > 0 && !g.set.CostTold {
+		rel = math.Log(r.Cost / threads)
+	}
+	blend(&c.logLat, lat-rel, max(bestRate, 1/float64(c.samples)))
 	if float64(c.samples) < 1/learnRate || c.logLat < c.bestLog {
 		c.bestLog = c.logLat
 	}
 	blend(&c.bestLog, c.logLat, forgetRate)
+	if r.Cost > 0 && !g.set.CostTold { // no answer tells the work, but the class's best times do
+		c.bias = math.Exp(c.bestLog)
+	}
+	if g.set.ProgressEvery > 0 && ev.Latency >= g.set.ProgressEvery {
+		x := 0.0
+		if r.spills {
+			x = 1
+		}
+		blend(&c.spilled, x, learnRate)
+	}
 	base := math.Log(g.unloaded(r))
 	if work > 0 {
 		base = math.Log(work / threads)
