Emulator: sites without grants, probes or told costs, bad plans, notes, neighbours, datagrams; drawn settings

Change: scenarios switch grants, priorities, probes, told costs, notes, datagrams (delay, loss, price), how reports travel and what they hold; engines that let all in and slow down past their memory (used is the lesser of grant and need), bad plans drawn anew for each attempt, and the troubles neighbour, reports_late and heavy_tail.

--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -24,6 +24,8 @@
 	FallShare            float64 // work that a core may do in a ms at capacity: 0.85 over the part of work that is on cores
 	ReportPeriodMS       float64
 	ReportDelayMS        float64
+	Overcommit           bool    // all are let in; past its memory the engine slows down
+	Page                 float64 // at twice its memory it does one part in so many
 }
 
 // Job is a query at the engine. Work is milliseconds of all threads together, cold
@@ -86,7 +88,7 @@
 }
 
 // Report is what a probe hears.
-type Report struct{ InFlight, Util, Memory, Disk float64 }
+type Report struct{ InFlight, Queue, Util, Memory, Disk float64 }
 
 // Books are sums of work in milliseconds. In = Done + Dropped + what is still there.
 type Books struct{ In, Done, Dropped float64 }
@@ -115,20 +117,28 @@
 	jobs    map[uint64]*Job
 	groups  map[uint64]*group
 	granted int64
+	used    int64    // of it, what queries need
 	warm    []uint64 // the latest read last
 	started float64  // start of warming; below 0: long ago
 	slow    float64
+	taken   float64 // part of cores and disks that another program has
+	late    float64 // that reports come out later than usual, ms
 	stalled bool
 	coresIn float64 // in use now
 	disksIn float64
 	books   Books
 	arrived []arrival
-	shown   Report
-	next    Report
-	nextAt  float64 // when next was taken
+	shown   Report   // the latest that is out
+	samples []sample // in order; at most the first is out
 	takeAt  float64
 }
 
+// sample is a report as it was taken.
+type sample struct {
+	at float64
+	Report
+}
+
 type group struct{ loads, behind []*Job }
 
 type arrival struct {
@@ -245,10 +255,8 @@
 // pass moves the lanes' clocks on; what is published of a state is that before the change.
 func (e *Engine) pass(now float64) {
 	for e.kind.ReportPeriodMS > 0 && e.takeAt <= now {
-		if e.nextAt+e.kind.ReportDelayMS <= e.takeAt {
-			e.shown = e.next
-		}
-		e.next, e.nextAt = e.state(), e.takeAt
+		e.show(e.takeAt)
+		e.samples = append(e.samples, sample{e.takeAt, e.state()})
 		e.takeAt += e.kind.ReportPeriodMS
 		if skip := math.Floor((now - e.takeAt) / e.kind.ReportPeriodMS); skip > 1 { // nothing changed in between
 			e.takeAt += skip * e.kind.ReportPeriodMS
@@ -267,7 +275,7 @@
 }
 
 func (e *Engine) state() Report {
-	return Report{InFlight: float64(len(e.jobs)), Util: e.coresIn / e.kind.Cores,
+	return Report{InFlight: float64(len(e.jobs)), Queue: float64(len(e.line)), Util: e.coresIn / e.kind.Cores,
 		Memory: float64(e.granted) / float64(e.kind.MemoryMB), Disk: e.disksIn / e.kind.Disks}
 }
 
@@ -277,12 +285,57 @@
 	if e.kind.ReportPeriodMS == 0 {
 		return e.state()
 	}
-	if e.nextAt+e.kind.ReportDelayMS <= now {
-		return e.next
+	return e.show(now)
+}
+
+// show is the latest sample that has come out by now; older ones are forgotten.
+func (e *Engine) show(now float64) Report {
+	for len(e.samples) > 1 && e.samples[1].at+e.kind.ReportDelayMS+e.late <= now {
+		e.samples = e.samples[1:]
+	}
+	if len(e.samples) > 0 && e.samples[0].at+e.kind.ReportDelayMS+e.late <= now {
+		e.shown = e.samples[0].Report
 	}
 	return e.shown
 }
 
+// ReportsLate makes reports come out so much later than usual; what is out stays out.
+func (e *Engine) ReportsLate(now, ms float64) {
+	e.pass(now)
+	e.show(now)
+	e.late = ms
+}
+
+// Take gives another program a part of the cores and disks.
+func (e *Engine) Take(now, part float64) {
+	e.pass(now)
+	e.taken = part
+	e.settle()
+}
+
+// Note is what an engine tells of a query that is here.
+type Note struct {
+	Share   float64 // of its work done
+	Lacking int64   // MB that it spills for
+	Waits   int     // 1 for memory, 2 for a load; 0: it runs
+}
+
+// Note tells of a query; false: it is not here.
+func (e *Engine) Note(now float64, id uint64) (Note, bool) {
+	e.pass(now)
+	j := e.jobs[id]
+	if j == nil {
+		return Note{}, false
+	}
+	switch j.state {
+	case waiting:
+		return Note{Waits: 1}, true
+	case blocked:
+		return Note{Waits: 2}, true
+	}
+	return Note{Share: 1 - e.remaining(j)/max(j.total, 1e-9), Lacking: max(j.NeedMB-j.granted, 0)}, true
+}
+
 // Start brings a query. Where the engine falls over, all that it held is gone, this
 // query too, and Pressure tells who sent what.
 func (e *Engine) Start(now float64, j *Job) Verdict {
@@ -328,10 +381,11 @@
 
 // settle lets in what fits and renews paces.
 func (e *Engine) settle() {
-	for len(e.line) > 0 && e.granted+e.line[0].granted <= e.kind.MemoryMB {
+	for len(e.line) > 0 && (e.kind.Overcommit || e.granted+e.line[0].granted <= e.kind.MemoryMB) {
 		j := e.line[0]
 		e.line = slices.Delete(e.line, 0, 1)
 		e.granted += j.granted
+		e.used += min(j.granted, j.NeedMB)
 		e.admit(j)
 	}
 	e.paces()
@@ -429,6 +483,7 @@
 	j.state = over
 	e.books.Dropped += j.left
 	e.granted -= j.granted
+	e.used -= min(j.granted, j.NeedMB)
 	g := e.groups[j.Group]
 	if g == nil || !j.Load && !j.Waits {
 		return
@@ -513,7 +568,7 @@
 	}
 	clear(e.jobs)
 	clear(e.groups)
-	e.line, e.granted = nil, 0
+	e.line, e.granted, e.used = nil, 0, 0
 	e.paces()
 	return all
 }
--- a/internal/emulator/engine/share.go
+++ b/internal/emulator/engine/share.go
@@ -13,12 +13,12 @@
 		threads += e.lanes[i].threads
 		disk += e.lanes[i].disk
 	}
-	speed := e.kind.Speed / e.slow
+	speed := e.kind.Speed / e.slow / e.paging()
 	if e.stalled {
 		speed = 0
 	}
-	cores := e.kind.Cores * e.Warmth(e.now) * falling(float64(threads)/e.kind.Cores, e.kind.Knee, e.kind.Thrash)
-	disks := e.kind.Disks * e.Warmth(e.now) * seeking(disk/e.kind.Disks, e.kind.Seek)
+	cores := e.kind.Cores * (1 - e.taken) * e.Warmth(e.now) * falling(float64(threads)/e.kind.Cores, e.kind.Knee, e.kind.Thrash)
+	disks := e.kind.Disks * (1 - e.taken) * e.Warmth(e.now) * seeking(disk/e.kind.Disks, e.kind.Seek)
 	level := min(e.level(cores, false, 0), e.level(disks, true, 0))
 	dry := level // of threads that use no disk
 	if e.level(disks, true, 0) < e.level(cores, false, 0) {
@@ -40,6 +40,15 @@
 	}
 }
 
+// paging is how many times slower all goes for memory in use past what there is: at twice
+// of it the kind's figure, at four times its square.
+func (e *Engine) paging() float64 {
+	if !e.kind.Overcommit || e.used <= e.kind.MemoryMB {
+		return 1
+	}
+	return math.Pow(e.kind.Page, math.Log2(float64(e.used)/float64(e.kind.MemoryMB)))
+}
+
 // level is how far the water rises until a resource is all in use. With fixed above 0,
 // lanes that use disks stay at that level and only the others rise.
 func (e *Engine) level(room float64, disks bool, fixed float64) float64 {
--- a/internal/emulator/observer/observer.go
+++ b/internal/emulator/observer/observer.go
@@ -115,6 +115,7 @@
 	Probes     int     `json:"probes"`
 	Cancels    int     `json:"cancels"`
 	Handshakes int     `json:"handshakes"`
+	PeerBytes  int     `json:"peer_bytes"` // of datagrams that arrived
 	Refusals   int     `json:"refusals"`
 	FellOver   int     `json:"fell_over"`
 	WorkIn     float64 `json:"work_in_ms"`
--- a/internal/emulator/observer/report.go
+++ b/internal/emulator/observer/report.go
@@ -178,8 +178,9 @@
 	r.Parts["cross_hall_price"] = round(g.CrossHall * float64(t.CrossHall) / first)
 	r.Parts["probe_price"] = round(g.Probe * float64(t.Probes) / first)
 	r.Parts["handshake_price"] = round(g.Handshake * float64(t.Handshakes) / first)
+	r.Parts["peer_price"] = round(g.Peer * float64(t.PeerBytes) / 256 / first)
 	service := g.Whole*ratio(earned, asked) + g.WorstWindow*worstWindow + g.WorstClass*worstClass
-	for _, price := range []string{"late_fail_price", "waste_price", "cross_hall_price", "probe_price", "handshake_price"} {
+	for _, price := range []string{"late_fail_price", "waste_price", "cross_hall_price", "probe_price", "handshake_price", "peer_price"} {
 		service -= r.Parts[price]
 	}
 	r.Service = round(max(service, 0))
--- a/internal/emulator/scenario/arrivals.go
+++ b/internal/emulator/scenario/arrivals.go
@@ -50,12 +50,14 @@
 	sizes  *rand.Rand
 	guess  *rand.Rand
 	who    *rand.Rand
+	tails  *rand.Rand
 }
 
 // Arrivals begins the day's stream of first tries.
 func (s *Scenario) Arrivals(seed uint64, t *Timeline) *Arrivals {
 	a := &Arrivals{s: s, t: t, when: des.Stream(seed, "arrivals"), what: des.Stream(seed, "classes and data sets"),
-		sizes: des.Stream(seed, "sizes"), guess: des.Stream(seed, "estimates"), who: des.Stream(seed, "clients")}
+		sizes: des.Stream(seed, "sizes"), guess: des.Stream(seed, "estimates"), who: des.Stream(seed, "clients"),
+		tails: des.Stream(seed, "heavy tails")}
 	day := des.Stream(seed, "day")
 	zipf := s.DataSets.Zipf.Draw(day)
 	for k := range s.DataSets.Count {
@@ -128,6 +130,9 @@
 	c := a.s.Classes[q.Class]
 	q.IO = a.io[q.Class]
 	q.Work = max(a.work[q.Class].Rand(), 0.5)
+	if len(a.t.tails) > 0 { // a stream of its own: without the trouble all is as it was
+		q.Work *= a.t.Heavier(q.At, q.Class, a.tails.Float64())
+	}
 	q.NeedMB = min(max(a.memory[q.Class].Rand(), 1), a.s.Engines.MemoryMB*a.s.Engines.MostGrant)
 	scatter := func() float64 { return logNormal(1, c.EstimateCV, a.guess).Rand() }
 	q.GuessWork = q.Work * a.bias[q.Class] * scatter()
--- a/internal/emulator/scenario/default.go
+++ b/internal/emulator/scenario/default.go
@@ -5,7 +5,7 @@
 	return &Scenario{
 		WindowMS: 5000,
 		Coordinators: Coordinators{Count: 3, QuantumMS: 0.5, TickMS: 5, MaxAttempts: 3, MaxOpen: 30000,
-			MaxComeBackMS: 2000, MayDuplicate: true},
+			MaxComeBackMS: 2000, MayDuplicate: true, Probes: true, PeerMS: Range{1, 20}},
 		Network: Network{SameMS: Range{0.08, 0.3}, CrossMS: Range{1.4, 2.6}, ClientMS: Range{0.4, 1.1}, Jitter: 0.25},
 		Front:   Front{NoticeMS: Range{900, 3400}},
 		Engines: Engines{Count: 8, Kind: "std-16", Cores: 16, Disks: 12, MemoryMB: 32768, Speed: Range{0.9, 1.1},
@@ -13,7 +13,8 @@
 			Sessions: 128, Connections: 7000, HandshakeRTTs: 2, IdleMS: 15000, ConnectMS: 250,
 			WarmSets: Range{3, 6}, WarmGain: Range{0.44, 0.65}, ColdFrom: Range{0.33, 0.49}, ColdMS: Range{8700, 15000},
 			ProbeTimeoutMS: 250, ReportPeriodMS: Range{120, 910}, ReportDelayMS: Range{8, 200},
-			ReportNoise: 0.1, ErrorRate: 0.001, OrphanMS: 2000},
+			ReportNoise: 0.1, ErrorRate: 0.001, OrphanMS: 2000,
+			Grants: true, Priorities: true, TellsCost: true, MemoryShort: LineUp, Page: Range{4.1, 7}, Reports: Pull},
 		DataSets: DataSets{Count: 20, Zipf: Range{0.54, 0.9}},
 		Load:     Load{PerS: 210, Shape: "wave", Swing: Range{0.15, 0.31}, PeriodMS: 20000, HallSkew: Range{0.05, 0.2}},
 		Clients:  Clients{TryShare: Range{0.8, 1}},
@@ -27,6 +28,9 @@
 // fill gives the lists that a file leaves out. They are not in Default, as a list
 // that is decoded over another keeps what its own entries leave out.
 func (s *Scenario) fill() {
+	if s.Engines.ReportFields == nil {
+		s.Engines.ReportFields = []string{"inflight", "util", "x1", "x0"}
+	}
 	if s.Halls == nil {
 		s.Halls = []string{"hall-a", "hall-b"}
 	}
--- a/internal/emulator/scenario/load.go
+++ b/internal/emulator/scenario/load.go
@@ -207,6 +207,12 @@
 		}
 		c.span(at+"/for_ms", t.ForMS.Hi, leastSpan)
 		c.need(at, t)
+		if t.Kind == Neighbour && t.Size.Hi >= 1 {
+			c.add(at+"/size", "the whole machine is taken", "give a part below 1; vanish or crash takes all")
+		}
+		if t.Kind == HeavyTail && t.Class >= len(s.Classes) {
+			c.add(at+"/class", fmt.Sprintf("there is no class %d", t.Class), fmt.Sprintf("classes count from 0 to %d", len(s.Classes)-1))
+		}
 		for _, n := range t.Coordinators {
 			if n >= s.Coordinators.Count {
 				c.add(at+"/coordinators", fmt.Sprintf("there is no coordinator %d", n),
@@ -257,6 +263,13 @@
 		lack(t.ForMS.Hi <= 0, "for_ms", "say how long it lasts")
 	case RosterDown, Vanish:
 		lack(t.ForMS.Hi <= 0, "for_ms", "say how long it lasts")
+	case ReportsLate:
+		lack(t.SizeMS.Hi <= 0, "size_ms", "say by how much")
+		lack(t.ForMS.Hi <= 0, "for_ms", "say how long it lasts")
+	case Neighbour, HeavyTail:
+		lack(t.Part.Hi <= 0, "part", "give the part, as 0.3")
+		lack(t.Size.Hi <= 0, "size", "give the part of the machine that is taken, or the multiple of the cost")
+		lack(t.ForMS.Hi <= 0, "for_ms", "say how long it lasts")
 	case RosterBehind:
 		lack(t.SizeMS.Hi <= 0, "size_ms", "say by how much")
 	case Join:
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -68,6 +68,10 @@
 	MaxOpen       int     `json:"max_open"`
 	MaxComeBackMS float64 `json:"max_come_back_ms"` // the longest wait that clients heed; 0: none is told
 	MayDuplicate  bool    `json:"may_duplicate"`
+	Probes        bool    `json:"probes"`    // engines may be asked for their report
+	Peers         bool    `json:"peers"`     // coordinators may send each other datagrams
+	PeerMS        Range   `json:"peer_ms"`   // how long one takes
+	PeerLoss      float64 `json:"peer_loss"` // part of them that never arrives
 }
 
 // Network is the way between the parties, one way.
@@ -85,34 +89,51 @@
 
 // Engines describes the fleet at the start and those that join later.
 type Engines struct {
-	Count          int     `json:"count"`
-	Kind           string  `json:"kind"`
-	Cores          float64 `json:"cores"`
-	Disks          float64 `json:"disks"` // reads and writes that go on at once at full pace
-	MemoryMB       float64 `json:"memory_mb"`
-	Speed          Range   `json:"speed"`
-	Knee           Range   `json:"knee"`   // threads a core beyond which less is done in all
-	Thrash         Range   `json:"thrash"` // what is left of it at twice the knee, at four times its square, and so on
-	Seek           Range   `json:"seek"`   // disks do 1/(1+seek) of it where twice as many wait as there are
-	Spill          Range   `json:"spill"`  // further work, as a multiple, with no memory at all
-	MostGrant      float64 `json:"most_grant"`
-	Sessions       int     `json:"sessions"`    // queries held, waiting ones too; more are turned away as full
-	Connections    int     `json:"connections"` // accepted from all coordinators
-	HandshakeRTTs  float64 `json:"handshake_rtts"`
-	IdleMS         float64 `json:"idle_ms"`
-	ConnectMS      float64 `json:"connect_timeout_ms"`
-	WarmSets       Range   `json:"warm_sets"`
-	WarmGain       Range   `json:"warm_gain"` // part of the reading that warmth saves
-	ColdFrom       Range   `json:"cold_from"`
-	ColdMS         Range   `json:"cold_ms"`
-	ReportPeriodMS Range   `json:"report_period_ms"`
-	ReportDelayMS  Range   `json:"report_delay_ms"`
-	ReportNoise    float64 `json:"report_noise"`
-	ErrorRate      float64 `json:"error_rate"`
-	OrphanMS       float64 `json:"orphan_ms"` // a query nobody asks for runs on so long
-	ProbeTimeoutMS float64 `json:"probe_timeout_ms"`
+	Count          int      `json:"count"`
+	Kind           string   `json:"kind"`
+	Cores          float64  `json:"cores"`
+	Disks          float64  `json:"disks"` // reads and writes that go on at once at full pace
+	MemoryMB       float64  `json:"memory_mb"`
+	Speed          Range    `json:"speed"`
+	Knee           Range    `json:"knee"`   // threads a core beyond which less is done in all
+	Thrash         Range    `json:"thrash"` // what is left of it at twice the knee, at four times its square, and so on
+	Seek           Range    `json:"seek"`   // disks do 1/(1+seek) of it where twice as many wait as there are
+	Spill          Range    `json:"spill"`  // further work, as a multiple, with no memory at all
+	MostGrant      float64  `json:"most_grant"`
+	Grants         bool     `json:"grants"`       // a grant that a coordinator names is heeded
+	Priorities     bool     `json:"priorities"`   // so is a priority
+	TellsCost      bool     `json:"tells_cost"`   // answers tell work and memory
+	MemoryShort    string   `json:"memory_short"` // line_up, overcommit
+	Page           Range    `json:"page"`         // overcommit: at twice its memory an engine does one part in so many
+	ProgressMS     float64  `json:"progress_ms"`  // between two notes of an attempt; 0: none
+	Reports        string   `json:"reports"`      // pull: with probes; piggyback: with answers too; silent
+	ReportFields   []string `json:"report_fields"`
+	Sessions       int      `json:"sessions"`    // queries held, waiting ones too; more are turned away as full
+	Connections    int      `json:"connections"` // accepted from all coordinators
+	HandshakeRTTs  float64  `json:"handshake_rtts"`
+	IdleMS         float64  `json:"idle_ms"`
+	ConnectMS      float64  `json:"connect_timeout_ms"`
+	WarmSets       Range    `json:"warm_sets"`
+	WarmGain       Range    `json:"warm_gain"` // part of the reading that warmth saves
+	ColdFrom       Range    `json:"cold_from"`
+	ColdMS         Range    `json:"cold_ms"`
+	ReportPeriodMS Range    `json:"report_period_ms"`
+	ReportDelayMS  Range    `json:"report_delay_ms"`
+	ReportNoise    float64  `json:"report_noise"`
+	ErrorRate      float64  `json:"error_rate"`
+	OrphanMS       float64  `json:"orphan_ms"` // a query nobody asks for runs on so long
+	ProbeTimeoutMS float64  `json:"probe_timeout_ms"`
 }
 
+// What an engine does when grants pass its memory, and how its reports travel.
+const (
+	LineUp     = "line_up"
+	Overcommit = "overcommit"
+	Pull       = "pull"
+	Piggyback  = "piggyback"
+	Silent     = "silent"
+)
+
 // Class is a class of queries.
 type Class struct {
 	Name         string  `json:"name"`
@@ -136,6 +157,8 @@
 	Halls        []int   `json:"halls"`    // the only ones it may be sent to; none: any
 	EstimateBias Range   `json:"estimate_bias"`
 	EstimateCV   float64 `json:"estimate_cv"`
+	Runaway      Range   `json:"runaway"`       // part of the attempts that get a bad plan
+	RunawayTimes Range   `json:"runaway_times"` // and take so many times as long
 }
 
 // DataSets are the groups of tables; the most read comes first.
@@ -156,7 +179,8 @@
 // Clients are the habits of those who ask.
 type Clients struct {
 	Habits   []Habit `json:"habits"`
-	TryShare Range   `json:"try_share"` // part of the time left that one try waits
+	TryShare Range   `json:"try_share"`   // part of the time left that one try waits
+	Marks    bool    `json:"marks_retry"` // a further try says that it is one
 }
 
 // Habit is what some clients do once a try has not been served.
@@ -198,6 +222,7 @@
 	Probe       float64 `json:"probe"`
 	LateFail    float64 `json:"late_fail"`
 	Handshake   float64 `json:"handshake"` // for a new connection to an engine, per first try
+	Peer        float64 `json:"peer"`      // for 256 bytes of datagrams that arrived, per first try
 }
 
 // Kinds of trouble.
@@ -215,6 +240,9 @@
 	Replace          = "replace"           // dies at once; another takes its place after ForMS under a new id
 	Vanish           = "vanish"            // falls silent for ForMS
 	RollingReplace   = "rolling_replace"   // all engines of the start in turn drain and are replaced, one each EveryMS
+	Neighbour        = "neighbour"         // another program takes Size of a Part of the engines, on and off each EveryMS
+	ReportsLate      = "reports_late"      // load reports SizeMS later than usual
+	HeavyTail        = "heavy_tail"        // a Part of the queries of Class cost Size times the usual, as estimates show
 	CoordinatorCrash = "coordinator_crash" // dies at once and starts again from nothing after ForMS
 )
 
@@ -230,4 +258,5 @@
 	Count        int    `json:"count"`
 	Engines      []int  `json:"engines"` // by place: the fleet's first, then those that joined
 	Coordinators []int  `json:"coordinators"`
+	Class        int    `json:"class"` // by place, of a heavy tail
 }
--- a/internal/emulator/scenario/settings.go
+++ b/internal/emulator/scenario/settings.go
@@ -35,13 +35,15 @@
 		"balancers": k.Count, "me": me, "tickMs": k.TickMS, "zone": me % len(s.Halls), "zones": s.Halls,
 		"machineTypes": []string{e.Kind},
 		"bounds": object{"cancel": true, "connIdleMs": e.IdleMS, "connectTimeoutMs": e.ConnectMS, "maxOpen": k.MaxOpen,
-			"maxRetryAfterMs": k.MaxComeBackMS, "mayDuplicate": k.MayDuplicate, "probes": true,
+			"maxRetryAfterMs": k.MaxComeBackMS, "mayDuplicate": k.MayDuplicate, "probes": k.Probes, "peers": k.Peers,
 			"retryAfter": k.MaxComeBackMS > 0, "sendCap": k.MaxAttempts, "streamsPerConn": 32},
 		"domain": object{"sizeCores": []float64{e.Cores}, "kindMemoryMb": []float64{e.MemoryMB}, "classThreads": threads,
-			"writesTables": loads, "blockedByLoads": waits, "costInAnswers": true, "grantsCount": true, "lanesCount": true,
-			"memoryShort": "line_up", "mostGrant": e.MostGrant},
-		"lanes": lanes, "registryMode": "push", "rules": rules, "prices": object{"probe": s.Goal.Probe, "handshake": s.Goal.Handshake},
-		"report": object{"via": "pull", "fields": []string{"inflight", "util", "x1", "x0"}},
+			"writesTables": loads, "blockedByLoads": waits, "costInAnswers": e.TellsCost, "grantsCount": e.Grants,
+			"lanesCount": e.Priorities, "memoryShort": e.MemoryShort, "mostGrant": e.MostGrant, "progressMs": e.ProgressMS},
+		"clientHabits": object{"marksRetry": s.Clients.Marks},
+		"lanes":        lanes, "registryMode": "push", "rules": rules, "prices": object{"probe": s.Goal.Probe, "handshake": s.Goal.Handshake,
+			"peer": s.Goal.Peer},
+		"report": object{"via": e.Reports, "fields": e.ReportFields},
 	})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/internal/emulator/scenario/timeline.go
+++ b/internal/emulator/scenario/timeline.go
@@ -32,17 +32,19 @@
 type ActKind int
 
 const (
-	ActStall  ActKind = iota // Value 1: stands still; 0: goes on
-	ActSlow                  // all engines Value times slower
-	ActSick                  // engine Engine Value times slower than the rest
-	ActRoster                // Value 1: out of reach; 0: back
-	ActBehind                // list news Value ms later
-	ActJoin                  // engine Engine joins, cold
-	ActDrain                 // engine Engine drains
-	ActLeave                 // engine Engine, drained, ends
-	ActCrash                 // engine Engine dies
-	ActReturn                // engine Engine starts again, cold
-	ActVanish                // Value 1: engine Engine falls silent; 0: is heard again
+	ActStall     ActKind = iota // Value 1: stands still; 0: goes on
+	ActSlow                     // all engines Value times slower
+	ActSick                     // engine Engine Value times slower than the rest
+	ActRoster                   // Value 1: out of reach; 0: back
+	ActBehind                   // list news Value ms later
+	ActJoin                     // engine Engine joins, cold
+	ActDrain                    // engine Engine drains
+	ActLeave                    // engine Engine, drained, ends
+	ActCrash                    // engine Engine dies
+	ActReturn                   // engine Engine starts again, cold
+	ActVanish                   // Value 1: engine Engine falls silent; 0: is heard again
+	ActNeighbour                // another program takes the part Value of engine Engine
+	ActReports                  // load reports Value ms later
 	ActCoordinatorDies
 	ActCoordinatorStarts
 )
@@ -57,6 +59,24 @@
 	swing  float64
 	s      *Scenario
 	blips  []burst
+	tails  []tail
+}
+
+// tail is a span in which part of a class's queries cost more.
+type tail struct {
+	from, to, part, times float64
+	class                 int
+}
+
+// Heavier is how many times the usual a query costs that comes at a time, by its own lot.
+func (t *Timeline) Heavier(at float64, class int, lot float64) float64 {
+	times := 1.0
+	for _, h := range t.tails {
+		if h.class == class && at >= h.from && at < h.to && lot < h.part {
+			times = max(times, h.times)
+		}
+	}
+	return times
 }
 
 type burst struct{ from, to, times float64 }
@@ -106,6 +126,30 @@
 			}
 		}
 		tells = fmt.Sprintf("%d engines stand still for %.0f ms every %.0f ms", n, sizeMS, every)
+	case Neighbour:
+		n := max(int(math.Round(part*float64(t.s.Engines.Count))), 1)
+		hit := rng.Perm(t.s.Engines.Count)[:n]
+		if every <= 0 {
+			every = length
+		}
+		for _, e := range hit {
+			for when, on := at, true; when < end; when, on = when+every*(0.5+rng.Float64()), !on {
+				if on {
+					t.act(when, ActNeighbour, e, size)
+				} else {
+					t.act(when, ActNeighbour, e, 0)
+				}
+			}
+			t.act(end, ActNeighbour, e, 0)
+		}
+		tells = fmt.Sprintf("another program takes %.2f of %d engines", size, n)
+	case ReportsLate:
+		t.act(at, ActReports, 0, sizeMS)
+		t.act(end, ActReports, 0, 0)
+		tells = fmt.Sprintf("load reports are %.0f ms later", sizeMS)
+	case HeavyTail:
+		t.tails = append(t.tails, tail{at, end, part, size, tr.Class})
+		tells = fmt.Sprintf("%.3f of class %d cost %.1f times the usual", part, tr.Class, size)
 	case RosterDown:
 		t.act(at, ActRoster, 0, 1)
 		t.act(end, ActRoster, 0, 0)
--- a/internal/emulator/world/clients.go
+++ b/internal/emulator/world/clients.go
@@ -51,7 +51,7 @@
 		t.c = w.coords[n]
 	}
 	until := clients.Until(w.s, cl.q, &cl.asked, now)
-	t.r = &open{id: requestID(w.tries), q: cl.q, try: t, priority: 1}
+	t.r = &open{id: requestID(w.tries), q: cl.q, try: t, priority: 1, marked: w.s.Clients.Marks && cl.tries > 1}
 	t.r.Request = observer.Request{Name: fmt.Sprintf("request %d.%d", cl.q.N, cl.tries), Class: cl.q.Class, Key: cl.q.Group,
 		Until: until}
 	// The client listens a little longer than it says, and then hangs up.
--- a/internal/emulator/world/coordinator.go
+++ b/internal/emulator/world/coordinator.go
@@ -39,6 +39,7 @@
 	q        scenario.Ask
 	try      *try
 	answered bool
+	marked   bool // its client says that it tries again
 	grant    float64
 	priority int
 	attempts []*attempt
@@ -66,14 +67,20 @@
 type (
 	inArrived struct{ r *open }
 	inEnded   struct {
-		a   *attempt
-		out decide.Outcome
-		job *engine.Job // with a served one
+		a    *attempt
+		out  decide.Outcome
+		job  *engine.Job  // with a served one
+		load *decide.Load // where answers bring one
 	}
 	inTimeout struct{ a *attempt }
 	inGone    struct{ r *open }
 	inTimer   struct{ token string }
-	inProbed  struct {
+	inNoted   struct {
+		a  *attempt
+		ev decide.Progress
+	}
+	inHeard  struct{ ev decide.PeerHeard }
+	inProbed struct {
 		ev decide.ProbeEnded
 	}
 	inListed struct {
@@ -211,13 +218,19 @@
 		c.requests[r.id] = r
 		c.effect(func(w *World) { w.obs.Taken(now, c.n, &r.Request) })
 		c.tell(now, decide.Arrived{ID: r.id, Class: r.q.Class, Group: r.q.Group, Left: r.Until - now,
-			Key: r.q.Group, HasKey: c.set.Classes[r.q.Class].InOrder, Cost: r.q.GuessWork, MemoryMB: r.q.GuessMB})
+			Key: r.q.Group, HasKey: c.set.Classes[r.q.Class].InOrder, Cost: r.q.GuessWork, MemoryMB: r.q.GuessMB, Retry: r.marked})
 	case inEnded:
-		c.ended(now, in.a, in.out, in.job)
+		c.ended(now, in.a, in.out, in.job, in.load)
+	case inNoted:
+		if !in.a.over {
+			c.tell(now, in.ev)
+		}
+	case inHeard:
+		c.tell(now, in.ev)
 	case inTimeout:
 		if a := in.a; !a.over {
 			c.withdraw(a)
-			c.ended(now, a, decide.OutcomeTimeout, nil)
+			c.ended(now, a, decide.OutcomeTimeout, nil, nil)
 		}
 	case inGone:
 		if r := in.r; !r.answered {
@@ -241,19 +254,21 @@
 	}
 }
 
-func (c *coordinator) ended(now float64, a *attempt, out decide.Outcome, job *engine.Job) {
+func (c *coordinator) ended(now float64, a *attempt, out decide.Outcome, job *engine.Job, load *decide.Load) {
 	if a.over {
 		return
 	}
 	r := a.r
 	a.over = true
 	r.running--
-	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: out, Latency: now - a.at}
+	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: out, Latency: now - a.at, Load: load}
 	if a.node != nil {
 		ev.Engine = a.node.id
 	}
 	if out == decide.OutcomeServed {
-		ev.Work, ev.MemoryMB = r.q.Work, r.q.NeedMB
+		if c.set.CostTold {
+			ev.Work, ev.MemoryMB = r.q.Work, r.q.NeedMB
+		}
 		if !r.answered {
 			c.answer(now, r, observer.Served, 0)
 			c.effect(func(w *World) { w.obs.Totals().Served += job.Total() })
@@ -298,7 +313,7 @@
 			if a := r.attempts[act.Attempt]; !a.over {
 				c.withdraw(a)
 				c.effect(func(w *World) { w.obs.Totals().Cancels++ })
-				c.inbox = append(c.inbox, inEnded{a, decide.OutcomeCancelled, nil})
+				c.inbox = append(c.inbox, inEnded{a: a, out: decide.OutcomeCancelled})
 			}
 		}
 	case decide.Refuse:
@@ -324,6 +339,27 @@
 		})
 	case decide.Probe:
 		c.probe(now, act.Engine)
+	case decide.Tell:
+		c.effect(func(w *World) { w.datagram(c, act) })
+	}
+}
+
+// datagram carries a message to one coordinator or to all others; any may be lost, and
+// those that arrive are paid for.
+func (w *World) datagram(from *coordinator, act decide.Tell) {
+	k := w.s.Coordinators
+	for _, to := range w.coords {
+		if to == from || act.To != decide.Everyone && act.To != to.n {
+			continue
+		}
+		if late := k.PeerMS.Draw(w.peers); w.peers.Float64() >= k.PeerLoss {
+			w.loop.After(late, func() {
+				if to.up {
+					w.obs.Totals().PeerBytes += len(act.Data)
+					to.post(w, inHeard{decide.PeerHeard{From: from.n, Data: act.Data}})
+				}
+			})
+		}
 	}
 }
 
@@ -375,7 +411,7 @@
 		}
 		w.obs.Sent(now, c.n, &r.Request, act.Engine, hall)
 		if n == nil || answered {
-			c.post(w, inEnded{a, decide.OutcomeNotSent, nil})
+			c.post(w, inEnded{a: a, out: decide.OutcomeNotSent})
 			return
 		}
 		a.node = n
@@ -390,7 +426,7 @@
 			}
 		})
 		n.reach(c, func(process int) { n.accept(a, process) },
-			func() { post(inEnded{a, decide.OutcomeConnectFailed, nil}) })
+			func() { post(inEnded{a: a, out: decide.OutcomeConnectFailed}) })
 	})
 }
 
@@ -413,6 +449,29 @@
 	})
 }
 
+// report is the engine's word of its load, noisy, with the fields that the day has.
+func (n *node) report() *decide.Load {
+	w := n.w
+	rep := n.model.Report(w.loop.Now())
+	load := &decide.Load{InFlight: -1, Queue: -1, Util: -1, Latency: -1, Memory: -1, Disk: -1}
+	for _, field := range w.s.Engines.ReportFields {
+		noisy := func(x float64) float64 { return max(x*(1+w.s.Engines.ReportNoise*w.noise.NormFloat64()), 0) }
+		switch field {
+		case "inflight":
+			load.InFlight = noisy(rep.InFlight)
+		case "queue":
+			load.Queue = noisy(rep.Queue)
+		case "util":
+			load.Util = noisy(rep.Util)
+		case "x0":
+			load.Memory = noisy(rep.Memory)
+		case "x1":
+			load.Disk = noisy(rep.Disk)
+		}
+	}
+	return load
+}
+
 // probed answers a probe beside the queries; a process that stands still does so later.
 func (n *node) probed(c *coordinator, process int, end func(decide.Outcome, *decide.Load)) {
 	w := n.w
@@ -427,10 +486,7 @@
 		n.afterwait = append(n.afterwait, func() { n.probed(c, process, end) })
 		return
 	}
-	rep := n.model.Report(w.loop.Now())
-	noisy := func(x float64) float64 { return max(x*(1+w.s.Engines.ReportNoise*w.noise.NormFloat64()), 0) }
-	load := &decide.Load{InFlight: noisy(rep.InFlight), Queue: -1, Util: noisy(rep.Util), Latency: -1,
-		Memory: noisy(rep.Memory), Disk: noisy(rep.Disk)}
+	load := n.report()
 	w.loop.After(w.oneWay(n.hall, c.hall), func() {
 		if c.up && n.run == process {
 			c.pool(n).give(w.loop.Now())
--- a/internal/emulator/world/node.go
+++ b/internal/emulator/world/node.go
@@ -5,6 +5,7 @@
 
 	"aniseloft/decide"
 	"aniseloft/internal/emulator/engine"
+	"aniseloft/internal/emulator/scenario"
 )
 
 // node is an engine's place in the fleet: the process that runs there, if any, and
@@ -24,6 +25,7 @@
 	silent    bool
 	stalled   bool
 	sick      float64 // times slower than the rest
+	taken     float64 // part that another program has of its machine
 	started   float64
 	open      int // connections
 	wakeAt    float64
@@ -42,6 +44,8 @@
 	n.closeBooks()
 	n.model = engine.New(n.kind, now, started)
 	n.model.Slow(now, n.w.slow*n.sick)
+	n.model.Take(now, n.taken)
+	n.model.ReportsLate(now, n.w.late)
 	n.run++
 	n.up, n.draining, n.silent, n.stalled, n.started, n.open, n.wakeAt = true, false, false, false, max(started, 0), 0, math.Inf(1)
 }
@@ -121,10 +125,14 @@
 		return
 	}
 	w, c := n.w, a.c
+	var load *decide.Load
+	if w.s.Engines.Reports == scenario.Piggyback && n.up && out != decide.OutcomeReset {
+		load = n.report()
+	}
 	w.loop.After(w.oneWay(n.hall, c.hall), func() {
 		n.hangUp(a, out != decide.OutcomeReset && c.run == a.run)
 		if c.run == a.run {
-			c.post(w, inEnded{a, out, j})
+			c.post(w, inEnded{a, out, j, load})
 		}
 	})
 }
@@ -180,7 +188,14 @@
 	w.jobs++
 	a.job = engine.NewJob(w.s, r.q, w.asks.Usual(r.q.Class))
 	a.job.ID, a.job.From, a.job.Owner = w.jobs, a.c.n, a
-	a.job.GrantMB, a.job.Priority, a.job.Expires = int64(a.grant), a.priority, a.until
+	a.job.Priority, a.job.Expires = 1, a.until
+	if w.s.Engines.Grants {
+		a.job.GrantMB = int64(a.grant)
+	}
+	if w.s.Engines.Priorities {
+		a.job.Priority = a.priority
+	}
+	a.job.Work *= engine.Plan(w.s.Classes[r.q.Class], w.plans)
 	n.sync(func() {
 		switch n.model.Start(now, a.job) {
 		case engine.Full:
@@ -193,7 +208,49 @@
 			w.roster.changed(w, n, decide.EngineGone, w.roster.notice(w, false))
 		default:
 			w.obs.Ran(now, &r.Request)
+			n.notes(a)
+		}
+	})
+}
+
+// notes tell of an attempt from time to time, while it is here: how far it is, whether it
+// spills, what it waits for.
+func (n *node) notes(a *attempt) {
+	every := n.w.s.Engines.ProgressMS
+	if every <= 0 {
+		return
+	}
+	w, run := n.w, n.run
+	w.loop.After(every, func() {
+		if n.run != run || !n.up || a.withdrawn || n.silent {
+			return
+		}
+		if n.stalled {
+			n.afterwait = append(n.afterwait, func() { n.notes(a) })
+			return
+		}
+		var note engine.Note
+		here := false
+		n.sync(func() { note, here = n.model.Note(w.loop.Now(), a.job.ID) })
+		if !here {
+			return
+		}
+		say := func(kind decide.ProgressKind, x float64) {
+			w.loop.After(w.oneWay(n.hall, a.c.hall), func() {
+				if a.c.run == a.run {
+					a.c.post(w, inNoted{a, decide.Progress{ID: a.r.id, Attempt: a.n, Kind: kind, Value: x}})
+				}
+			})
+		}
+		if note.Waits > 0 {
+			say(decide.ProgressWaits, float64(note.Waits))
+		} else {
+			say(decide.ProgressShare, note.Share)
+		}
+		if note.Lacking > 0 {
+			say(decide.ProgressSpills, float64(note.Lacking))
 		}
+		n.notes(a)
 	})
 }
 
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -44,6 +44,9 @@
 	net      *rand.Rand
 	noise    *rand.Rand
 	errors   *rand.Rand
+	plans    *rand.Rand
+	peers    *rand.Rand
+	late     float64    // reports, ms
 	drawn    *rand.Rand // of engines
 	ids      *rand.Rand
 	slow     float64
@@ -82,6 +85,7 @@
 	w.corePart = w.asks.CorePart()
 	stream := func(concern string) *rand.Rand { return des.Stream(opt.Seed, concern) }
 	w.net, w.noise, w.errors = stream("network"), stream("report noise"), stream("errors")
+	w.plans, w.peers = stream("bad plans"), stream("datagrams")
 	w.drawn, w.ids = stream("engines"), stream("engine ids")
 	w.roster.rng, w.front = stream("roster"), clients.NewFront(s, stream("front"))
 	if w.opt.New == nil {
@@ -139,6 +143,19 @@
 			n.sync(func() { n.model.Slow(now, w.slow*n.sick) })
 		}
 		w.obs.Note(now, "engine %d %.2f times slower than the rest", n.place, a.Value)
+	case scenario.ActNeighbour:
+		if n.taken = a.Value; n.up {
+			n.sync(func() { n.model.Take(now, a.Value) })
+		}
+		w.obs.Note(now, "another program takes %.2f of engine %d", a.Value, n.place)
+	case scenario.ActReports:
+		w.late = a.Value
+		for _, n := range w.nodes {
+			if n.up {
+				n.sync(func() { n.model.ReportsLate(now, w.late) })
+			}
+		}
+		w.obs.Note(now, "load reports %.0f ms later", a.Value)
 	case scenario.ActRoster:
 		w.roster.reach(w, a.Value == 0)
 	case scenario.ActBehind:
