--- a/internal/emulator/live/clients.go
+++ b/internal/emulator/live/clients.go
@@ -168,8 +168,15 @@
 	d.book.calls[id] = c
 	d.book.obs.Taken(now, n, c.req)
 	d.book.mu.Unlock()
-	withdraw, err := d.doors[n].ask(k.Name, map[string]any{"call": id, "ttl": max(until-d.clock.Now(), 1), "work": cl.q.GuessWork,
-		"ram": cl.q.GuessMB, "doc": base64.StdEncoding.EncodeToString([]byte(statement))}, func(a *answer) {
+	params := map[string]any{"call": id, "ttl": max(until-d.clock.Now(), 1), "work": cl.q.GuessWork,
+		"ram": cl.q.GuessMB, "doc": base64.StdEncoding.EncodeToString([]byte(statement))}
+	if k.Repeat == "by_key" {
+		params["dedupe"] = fmt.Sprintf("%032x", cl.q.N)
+	}
+	if d.s.Clients.Marks && cl.tries > 1 {
+		params["rep"] = "1"
+	}
+	withdraw, err := d.doors[n].ask(k.Name, params, func(a *answer) {
 		switch at := d.clock.Now(); {
 		case a == nil:
 			d.lostTry(at, c)
--- a/internal/emulator/live/day.go
+++ b/internal/emulator/live/day.go
@@ -48,6 +48,7 @@
 	front   *clients.Front
 	doors   []*door
 	nodes   []*process
+	peers   []string // where coordinators hear each other
 	clients sync.WaitGroup
 	roster  *rand.Rand
 	slow    float64
@@ -96,10 +97,16 @@
 func (d *Day) open() error {
 	drawn, ids, errs := des.Stream(d.opt.Seed, "engines"), des.Stream(d.opt.Seed, "engine ids"), des.Stream(d.opt.Seed, "errors")
 	var errMu sync.Mutex
+	plans := des.Stream(d.opt.Seed, "bad plans")
 	part := d.asks.CorePart()
 	for i := range d.tl.Fleet {
 		e := &Engine{s: d.s, clock: d.clock, book: d.book, place: i, hall: d.s.HallOf(i), id: ids.Uint32(),
 			kind: engine.Draw(d.s, drawn, part), usual: d.asks.Usual,
+			plan: func(class int) float64 {
+				errMu.Lock()
+				defer errMu.Unlock()
+				return engine.Plan(d.s.Classes[class], plans)
+			},
 			errors: func() bool { errMu.Lock(); defer errMu.Unlock(); return errs.Float64() < d.s.Engines.ErrorRate }}
 		e.cond = sync.NewCond(&e.mu)
 		d.fleet = append(d.fleet, e)
@@ -142,6 +149,14 @@
 		return fmt.Errorf("rehearsal: %w", err)
 	}
 	seeds := des.Stream(d.opt.Seed, "coordinators")
+	for n := range d.s.Coordinators.Count {
+		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.3.1.%d:0", n+1))
+		if err != nil {
+			return fmt.Errorf("rehearsal: %w", err)
+		}
+		d.peers = append(d.peers, c.LocalAddr().String())
+		_ = c.Close()
+	}
 	for n := range d.s.Coordinators.Count {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.3.0.%d:0", n+1))
 		if err != nil {
@@ -212,9 +227,13 @@
 			d.journal.told(n, s)
 		}
 	}
-	conf, err := json.Marshal(map[string]any{"name": fmt.Sprintf("n%d", n), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
+	whole := map[string]any{"name": fmt.Sprintf("n%d", n), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
 		"limits":  map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
-		"journal": d.journal.addrs[n], "known": map[string]any{"pos": len(entries), "entries": entries}, "settings": json.RawMessage(set)})
+		"journal": d.journal.addrs[n], "known": map[string]any{"pos": len(entries), "entries": entries}, "settings": json.RawMessage(set)}
+	if d.s.Coordinators.Peers && n < len(d.peers) { // each has an address of its own; there is no way to all at once
+		whole["peer_listen"], whole["peers"] = d.peers[n], d.peers
+	}
+	conf, err := json.Marshal(whole)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/emulator/live/fleet.go
+++ b/internal/emulator/live/fleet.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"aniseloft/decide"
 	"aniseloft/internal/emulator/engine"
 	"aniseloft/internal/emulator/observer"
 	"aniseloft/internal/emulator/scenario"
@@ -99,6 +100,9 @@
 	timer     *time.Timer
 	closed    engine.Books
 	errors    func() bool
+	plan      func(class int) float64 // how many times its work an attempt takes
+	taken     float64                 // part of the machine that another program has
+	late      float64                 // that reports come later, ms
 }
 
 // run is a query at the engine.
@@ -108,6 +112,10 @@
 	ended chan struct{}
 	how   int // a status
 	asked float64
+	over  bool    // its end is booked
+	noted float64 // when its last note was due
+	// Notes so far: of its share, and of what it lacks.
+	told, lacked int
 }
 
 const (
@@ -146,6 +154,8 @@
 	defer e.mu.Unlock()
 	e.model = engine.New(e.kind, e.clock.Now(), started)
 	e.model.Slow(e.clock.Now(), slow*max(e.sick, 1))
+	e.model.Take(e.clock.Now(), e.taken)
+	e.model.ReportsLate(e.clock.Now(), e.late)
 	e.runs = map[string]*run{}
 	e.up, e.draining, e.stalled, e.silent, e.startedAt = true, false, false, false, max(started, 0)
 	return nil
@@ -165,6 +175,7 @@
 	e.closed.In, e.closed.Done, e.closed.Dropped = e.closed.In+b.In, e.closed.Done+b.Done, e.closed.Dropped+b.Dropped+left
 	for _, r := range e.runs {
 		r.finish(0)
+		e.over(r, decide.OutcomeReset)
 	}
 	e.cond.Broadcast()
 	server := e.server
@@ -196,6 +207,7 @@
 		if now-r.asked > e.s.Engines.OrphanMS {
 			e.model.Cancel(now, r.job.ID)
 			r.finish(http.StatusInternalServerError)
+			e.over(r, decide.OutcomeTimeout)
 			delete(e.runs, id)
 		}
 	}
@@ -274,8 +286,7 @@
 	switch {
 	case r.URL.Path == "/-/gauges" || r.URL.Path == "/alive":
 		e.book.with(func(o *observer.Observer) { o.Totals().Probes++ })
-		rep := e.model.Report(e.clock.Now())
-		w.Header().Set("Load-Report", fmt.Sprintf("inflight:%.0f;util:%.3f;x1:%.3f;x0:%.3f", rep.InFlight, rep.Util, rep.Disk, rep.Memory))
+		w.Header().Set("Load-Report", e.report())
 	case c != nil:
 		e.start(w, r, c)
 	case len(part) < 2 || part[0] != "data":
@@ -294,6 +305,7 @@
 		if q := e.runs[part[1]]; q != nil {
 			e.model.Cancel(e.clock.Now(), q.job.ID)
 			q.finish(http.StatusInternalServerError)
+			e.over(q, decide.OutcomeCancelled)
 			delete(e.runs, part[1])
 			e.sync()
 		}
@@ -317,9 +329,15 @@
 		return
 	}
 	e.seq++
-	q := &run{call: c, ended: make(chan struct{}), asked: now, job: engine.NewJob(e.s, c.q, e.usual(c.q.Class))}
+	q := &run{call: c, ended: make(chan struct{}), asked: now, noted: now, job: engine.NewJob(e.s, c.q, e.usual(c.q.Class))}
+	q.job.Work *= e.plan(c.q.Class)
 	q.job.ID, q.job.From, q.job.Owner = e.seq, c.coord, q
-	q.job.GrantMB, q.job.Priority = figure(r, "X-Reserve", 0), int(min(max(figure(r, "X-Weight-Class", 1), 0), 3))
+	if q.job.Priority = 1; e.s.Engines.Priorities {
+		q.job.Priority = int(min(max(figure(r, "X-Weight-Class", 1), 0), 3))
+	}
+	if e.s.Engines.Grants {
+		q.job.GrantMB = figure(r, "X-Reserve", 0)
+	}
 	q.job.Expires = now + float64(figure(r, "Timeout-Ms", int64(e.s.Classes[c.q.Class].DeadlineMS)))
 	switch e.model.Start(now, q.job) {
 	case engine.Full:
@@ -339,6 +357,42 @@
 	e.news(w, q)
 }
 
+// report words the engine's load, with the fields that the day has.
+func (e *Engine) report() string {
+	rep := e.model.Report(e.clock.Now())
+	values := map[string]float64{"inflight": rep.InFlight, "queue": rep.Queue, "util": rep.Util, "x1": rep.Disk, "x0": rep.Memory}
+	var parts []string
+	for _, name := range e.s.Engines.ReportFields {
+		parts = append(parts, fmt.Sprintf("%s:%.3f", name, values[name]))
+	}
+	return strings.Join(parts, ";")
+}
+
+// note adds one to a 202 where one is due: what spills and is heard of its share in turn.
+func (e *Engine) note(w http.ResponseWriter, q *run) {
+	every, now := e.s.Engines.ProgressMS, e.clock.Now()
+	if every <= 0 || now-q.noted < every {
+		return
+	}
+	e.sync()
+	n, here := e.model.Note(now, q.job.ID)
+	if !here {
+		return
+	}
+	q.noted += every
+	kind, value := "so_far", n.Share
+	if n.Waits > 0 {
+		kind, value = "waiting", float64(n.Waits)
+	} else if n.Lacking > 0 && q.lacked < q.told {
+		kind, value = "lacking", float64(n.Lacking)
+		q.lacked++
+	} else {
+		q.told++
+	}
+	w.Header().Set("Outcome", kind)
+	w.Header().Set("X-Num", strconv.FormatFloat(value, 'f', 3, 64))
+}
+
 // stranger is a query that no client of the day sent, as when engines are only served:
 // it needs what its class usually does. Nil: no such class.
 func (e *Engine) stranger(class, statement string) *call {
@@ -357,9 +411,18 @@
 	}
 }
 
+// over books a query's end, once: its end is written, or it is given up.
+func (e *Engine) over(q *run, out decide.Outcome) {
+	if q.over {
+		return
+	}
+	q.over = true
+	e.judge(q.call, func(o *observer.Observer) { o.Ended(e.clock.Now(), q.call.coord, q.call.req, out) })
+}
+
 // full says that a query never ran.
 func (e *Engine) full(w http.ResponseWriter, c *call, status int) {
-	e.judge(c, func(o *observer.Observer) { o.Ended(e.clock.Now(), c.coord, c.req, outcomeFull) })
+	e.judge(c, func(o *observer.Observer) { o.Ended(e.clock.Now(), c.coord, c.req, decide.OutcomeFull) })
 	w.Header().Set("Never-Ran", "1")
 	w.WriteHeader(status)
 }
@@ -385,22 +448,31 @@
 	select {
 	case <-q.ended:
 	default:
+		e.note(w, q)
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
+	if e.s.Engines.Reports == scenario.Piggyback {
+		w.Header().Set("Load-Report", e.report())
+	}
 	switch q.how {
 	case http.StatusOK:
 		e.book.mu.Lock()
 		q.call.total = q.job.Total()
 		e.book.mu.Unlock()
 		q.asked = e.clock.Now()
+		e.over(q, decide.OutcomeServed)
 		w.Header().Set("X-Batches", "1")
-		w.Header().Set("X-Spent", strconv.FormatFloat(q.call.q.Work, 'f', 3, 64))
-		w.Header().Set("X-Wanted", strconv.FormatFloat(q.call.q.NeedMB, 'f', 1, 64))
+		if e.s.Engines.TellsCost {
+			w.Header().Set("X-Spent", strconv.FormatFloat(q.call.q.Work, 'f', 3, 64))
+			w.Header().Set("X-Wanted", strconv.FormatFloat(q.call.q.NeedMB, 'f', 1, 64))
+		}
 		_, _ = io.WriteString(w, rows)
 	case http.StatusGatewayTimeout:
+		q.over = true
 		e.full(w, q.call, q.how)
 	default:
+		e.over(q, decide.OutcomeError)
 		w.WriteHeader(http.StatusInternalServerError)
 	}
 }
--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -30,12 +30,49 @@
 	return l.text.Write(b)
 }
 
-// A short, light day with patient clients, so that its verdict does not hang on how
-// busy the machine is: an engine drains, one dies, a coordinator is killed.
-func TestRehearsalWithTheRealProgram(t *testing.T) {
+// built is the real program.
+func built(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "aniseloft")
 	out, err := exec.Command("go", "build", "-o", program, "aniseloft/cmd/aniseloft").CombinedOutput()
 	require.NoError(t, err, string(out))
+	return program
+}
+
+// The second deployment's switches over sockets: keys of loads, notes, reports in answers, datagrams, a ration.
+func TestRehearsalOfTheSecondDeployment(t *testing.T) {
+	s, err := scenarios.Load("tournament-sunday")
+	require.NoError(t, err)
+	fix := func(x float64) scenario.Range { return scenario.Range{Lo: x, Hi: x} }
+	s.DurationMS, s.Load.PerS, s.Engines.Count, s.Engines.ProgressMS, s.Engines.ErrorRate = 4000, 25, 4, 300, 0
+	for i := range s.Classes {
+		s.Classes[i].AimMS, s.Classes[i].DeadlineMS, s.Classes[i].WorkMS = 20000, 20000, fix(float64(60+600*i))
+	}
+	s.Clients.Habits = []scenario.Habit{{Share: 1, Retries: 3, WaitMS: fix(300)}}
+	s.Roster.NoticeMS, s.Front.NoticeMS = fix(200), fix(300)
+	s.Troubles = []scenario.Trouble{
+		{Kind: scenario.Replace, AtMS: fix(500), ForMS: fix(500), Engines: []int{0}},
+		{Kind: scenario.Neighbour, AtMS: fix(1000), ForMS: fix(2000), Part: fix(0.5), Size: fix(0.5), EveryMS: fix(500)},
+		{Kind: scenario.ReportsLate, AtMS: fix(1500), ForMS: fix(1500), SizeMS: fix(1500)},
+		{Kind: scenario.CoordinatorCrash, AtMS: fix(2000), ForMS: fix(800), Coordinators: []int{1}},
+	}
+	var printed log
+	r, err := live.Run(context.Background(), s, live.Options{Seed: 3, Coordinator: built(t), Log: &printed})
+	require.NoError(t, err)
+	require.Empty(t, r.Rules, printed.String())
+	var first, served int
+	for _, c := range r.Classes {
+		first, served = first+c.First, served+c.Served
+	}
+	require.Greater(t, first, 50)
+	require.GreaterOrEqual(t, served, first*9/10, printed.String())
+	require.Regexp(t, `counters peers sent=[1-9]\d* unsent=\d+ heard=[1-9]\d* stranger=0 oversize=0 unreadable=0`, printed.String())
+	require.NotContains(t, printed.String(), "panicked")
+}
+
+// A short, light day with patient clients, so that its verdict does not hang on how
+// busy the machine is: an engine drains, one dies, a coordinator is killed.
+func TestRehearsalWithTheRealProgram(t *testing.T) {
+	program := built(t)
 	s, err := scenarios.Load("calm-weekday")
 	require.NoError(t, err)
 	fix := func(x float64) scenario.Range { return scenario.Range{Lo: x, Hi: x} }
--- a/internal/emulator/live/troubles.go
+++ b/internal/emulator/live/troubles.go
@@ -42,6 +42,20 @@
 			e.model.Slow(now, slow*max(e.sick, 1))
 		})
 		d.note("engine %d %.2f times slower than the rest", e.place, a.Value)
+	case scenario.ActNeighbour:
+		e.change(func(now float64) {
+			e.taken = a.Value
+			e.model.Take(now, a.Value)
+		})
+		d.note("another program takes %.2f of engine %d", a.Value, e.place)
+	case scenario.ActReports:
+		for _, e := range d.fleet {
+			e.mu.Lock()
+			e.late = a.Value
+			e.mu.Unlock()
+			e.change(func(now float64) { e.model.ReportsLate(now, a.Value) })
+		}
+		d.note("load reports %.0f ms later", a.Value)
 	case scenario.ActRoster:
 		d.journal.reach(a.Value > 0)
 		d.note("roster out of reach: %t", a.Value > 0)
