A repeat under a load's key joins what runs there; who waits is tried itself where that fails

Need: two clients of one key had two runs, and the first to leave took its run along. Handing back at the end of a process refuses a keyed load where every engine drops a repeat. The recorded end of a run is the engines' (the key goes on unchanged): a result is handed on only to who waited for it, as it is not told whether engines word one result alike for two calls. Tests: joining, leaving, another statement, a freed key, a failed run; under -race, with the real program.

--- a/cmd/aniseloft/second_test.go
+++ b/cmd/aniseloft/second_test.go
@@ -160,3 +160,43 @@
 	require.Error(t, err)
 	require.Contains(t, string(out), "aniseloft: configuration: me = 4: not among the gateways; the program does not start")
 }
+
+// A load's key joins what runs under it: two clients of one key had two runs, and whoever left took the run along.
+func TestARepeatJoinsWhatRunsUnderItsKey(t *testing.T) {
+	t.Parallel()
+	p, e := secondWorld(t, false)
+	key := `"dedupe":"k1",`
+	first, second, third := dial(t, p.listen), dial(t, p.listen), dial(t, p.listen)
+	stay := "insert stay into s_1.x"
+	first.send(keyed(1, stay, key))
+	eventually(t, func() bool { return e.count(&e.started, stay) == 1 })
+	second.send(keyed(1, stay, key+`"rep":"1",`))
+	require.Contains(t, third.call(keyed(1, "insert into s_2.x", key)), `"code":-32001`, "the key names another statement")
+	third.send(keyed(2, stay, key))
+	eventually(t, func() bool {
+		_ = p.Process.Signal(syscall.SIGUSR1)
+		return strings.Contains(p.logged(), "joined=2")
+	})
+	first.Close() // the run goes on for the second
+	third.send(`{"jsonrpc":"2.0","method":"cancelRequest","params":{"id":2}}`)
+	require.Contains(t, third.call(`{"jsonrpc":"2.0","id":9,"method":"alive"}`), `"id":9`)
+	close(e.release)
+	require.Equal(t, "a\tb\tc\n", served(t, second.line()))
+	require.Equal(t, 1, e.count(&e.started, stay), "one run")
+	require.Zero(t, e.count(&e.ended, stay), "nobody gave it up")
+	require.Equal(t, "a\tb\tc\n", served(t, third.call(keyed(3, stay, key))), "the key is free once its request has ended")
+}
+
+// What ends unserved under a key is tried for the next that waits, where it can still be in time.
+func TestWhoWaitsForAFailedRunIsTriedItself(t *testing.T) {
+	t.Parallel()
+	p, e := secondWorld(t, false)
+	first, second := dial(t, p.listen), dial(t, p.listen)
+	stay, key := "insert stay into s_1.x", `"dedupe":"k1",`
+	first.send(strings.Replace(keyed(1, stay, key), `"ttl":9000`, `"ttl":1200`, 1))
+	eventually(t, func() bool { return e.count(&e.started, stay) >= 1 })
+	second.send(keyed(1, stay, key))
+	require.Contains(t, first.line(), `"error"`)
+	close(e.release)
+	require.Equal(t, "a\tb\tc\n", served(t, second.line()))
+}
--- a/internal/emulator/live/journal.go
+++ b/internal/emulator/live/journal.go
@@ -17,7 +17,6 @@
 
 var quiet = log.New(io.Discard, "", 0)
 
-
 func engineID(id uint32) decide.EngineID { return decide.EngineID(id) }
 
 // entry is one event of the journal service.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -35,6 +35,7 @@
 	seq      atomic.Uint64
 	after    []func() // what the core's own goroutine put off until this event is done
 	requests map[decide.RequestID]*request
+	joins    *joins
 	calls    map[string]struct{} // the clients' names of what is in requests
 	engines  map[decide.EngineID]*engine
 	running  sync.WaitGroup
@@ -55,6 +56,10 @@
 	priority int
 	attempts []*attempt
 	running  int
+	// Of a keyed class: the request that runs under the same key, and those that wait for this one.
+	leader    *request
+	followers []*request
+	heir      decide.RequestID // whose client it runs on for; empty: its own
 }
 
 // attempt is a send that has no outcome yet, or had one.
@@ -102,7 +107,7 @@
 	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen, room: statements,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, calls: map[string]struct{}{}, engines: map[decide.EngineID]*engine{},
-		hand: newHand(), Counts: newCounters(set)}
+		joins: newJoins(), hand: newHand(), Counts: newCounters(set)}
 	if set.MaxOpen > 0 {
 		c.limit = min(set.MaxOpen, maxOpen)
 	}
@@ -196,13 +201,32 @@
 // Gone withdraws a query: its client no longer waits, and no answer is owed.
 func (c *Core) Gone(t Ticket) {
 	c.post(func() {
+		if f := c.joins.behind[t.id]; f != nil {
+			c.Counts.gone(f.query.Class)
+			c.joins.leave(f)
+			c.close(f)
+			return
+		}
 		r := c.requests[t.id]
+		if h := c.joins.heirs[t.id]; h != nil {
+			r = h
+		} else if r != nil && r.heir != "" { // its own client has left already
+			r = nil
+		}
 		if r == nil || r.front == nil {
 			return
 		}
 		c.Counts.gone(r.query.Class)
+		delete(c.joins.heirs, r.heir)
+		if f := c.joins.next(r); f != nil { // the run goes on for who waits for it
+			r.front, f.front = f.front, nil
+			f.guard.Stop()
+			c.open.Add(-1)
+			return
+		}
+		c.joins.end(r)
 		c.close(r)
-		c.handle(decide.ClientGone{ID: t.id})
+		c.handle(decide.ClientGone{ID: r.id})
 		c.forget(r)
 	})
 }
@@ -214,6 +238,11 @@
 
 func (c *Core) arrived(id decide.RequestID, q Query, f Front) {
 	c.Counts.taken(q.Class)
+	c.take(id, q, f)
+}
+
+// take opens a query, for the first time or after what ran under its key has ended unserved.
+func (c *Core) take(id decide.RequestID, q Query, f Front) {
 	r := &request{id: id, query: q, front: f, priority: -1}
 	if len(c.requests) >= c.limit || len(q.Statement) > c.room {
 		c.answer(r, Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: "too much is open"})
@@ -225,9 +254,20 @@
 		c.answer(r, Answer{Kind: Failed, Why: "the call is in use"})
 		return
 	}
+	left := time.Until(q.Deadline)
+	cls := c.set.Classes[q.Class]
+	waits, err := c.joins.join(r, cls.Repeat == decide.RepeatKeyed)
+	if err != nil {
+		c.answer(r, Answer{Kind: Failed, Why: err.Error()})
+		return
+	}
+	if waits { // engines would drop it: what runs under its key is its own
+		c.Counts.joined.Add(1)
+		r.guard = time.AfterFunc(max(left, 0), func() { c.post(func() { c.tired(r) }) })
+		return
+	}
 	c.requests[id], c.calls[q.Call] = r, struct{}{}
 	c.room -= len(q.Statement)
-	left := time.Until(q.Deadline)
 	c.log.Debug("taken", "call", q.Call, "class", q.Class, "left_ms", left.Milliseconds(), "work_ms", q.Work)
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
@@ -235,6 +275,26 @@
 		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB, Retry: q.Repeat})
 }
 
+// tired ends one whose time is up before the end that it waits for. It was never sent itself, and another try
+// would join again or be dropped by the engines: trying again is harmless where any of them does so.
+func (c *Core) tired(r *request) {
+	if r.leader == nil {
+		return
+	}
+	c.joins.leave(r)
+	a := Answer{Kind: Failed, Why: "still running under its key"}
+	if c.harmless(r.query.Class) {
+		a.Kind, a.ComeBack = Refused, ms(c.set.MaxComeBack)
+	}
+	c.answer(r, a)
+}
+
+// harmless tells whether a client may try again whatever ran: the class is safe, or any engine drops a repeat.
+func (c *Core) harmless(class int) bool {
+	k := c.set.Classes[class]
+	return k.Repeat == decide.RepeatSafe || k.Repeat == decide.RepeatKeyed && k.Scope == decide.ScopeAll
+}
+
 // HandBack answers what is open, for a process that is about to be killed: what may be
 // tried again is refused with comeBack, so that its client goes elsewhere at once; a
 // request that must not run twice and may have run is told failed. The module hears that
@@ -246,10 +306,13 @@
 				continue
 			}
 			a := Answer{Kind: Refused, ComeBack: comeBack, Why: "handed back: this process ends"}
-			if c.set.Classes[r.query.Class].Repeat != decide.RepeatSafe && r.mayHaveRun() {
+			if !c.harmless(r.query.Class) && r.mayHaveRun() {
 				a = Answer{Kind: Failed, Why: "this process ends, and the load may have run"}
 			}
 			c.Counts.handedBack.Add(1)
+			for _, w := range c.joins.end(r) { // never sent themselves
+				c.answer(w, a)
+			}
 			c.answer(r, a)
 			c.handle(decide.ClientGone{ID: r.id})
 			c.forget(r)
@@ -276,6 +339,16 @@
 	c.log.Debug("answered", "call", r.query.Call, "class", r.query.Class, "kind", a.Kind.String(), "attempts", len(r.attempts), "why", a.Why)
 	c.close(r)
 	f.Answer(a)
+	for _, w := range c.joins.end(r) {
+		if a.Kind == Served {
+			c.answer(w, a)
+			continue
+		}
+		// What ended unserved under the key may be tried for the next in its place.
+		front := w.front
+		w.guard.Stop()
+		c.after = append(c.after, func() { c.take(w.id, w.query, front) })
+	}
 }
 
 // close marks a request as owed nothing more.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -13,6 +13,7 @@
 	classes         []classCounters
 	cancels, probes atomic.Int64
 	panics          atomic.Int64
+	joined          atomic.Int64 // waited for what ran under their key
 	handedBack      atomic.Int64 // answered by the core as the process ends
 }
 
@@ -55,7 +56,7 @@
 		}
 		b.WriteByte('\n')
 	}
-	fmt.Fprintf(&b, "counters cancels=%d probes=%d panics=%d handed_back=%d\n", c.cancels.Load(), c.probes.Load(), c.panics.Load(),
-		c.handedBack.Load())
+	fmt.Fprintf(&b, "counters cancels=%d probes=%d panics=%d handed_back=%d joined=%d\n", c.cancels.Load(), c.probes.Load(), c.panics.Load(),
+		c.handedBack.Load(), c.joined.Load())
 	return b.String()
 }
