aniseloftctl fleet logs: what many coordinators did together, by second and by engine

Answers, sends, dials and probes each second with the worst, attempts by outcome, answers by reason, the busiest engines, the worst second of sends to a cold engine, how news of the list spread, and sends after the word of a drain.

--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -59,3 +59,17 @@
 	require.NoError(t, err)
 	return string(b)
 }
+
+func TestFleetLogsTellsWhatAllDidTogether(t *testing.T) {
+	log := file(t, "n0.log", "time=2026-12-01T10:00:01.100Z level=DEBUG msg=sent call=a class=0 attempt=0 engine=s-1 timeout_ms=900\n")
+	code, out, _ := call("fleet", "logs", log)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "1 coordinators, 1 lines, 0 passed over")
+	require.Regexp(t, `sends +1 +1\.0 +1`, out)
+	code, out, _ = call("fleet", "logs", log, "--json")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, `"engine": "s-1"`)
+	code, _, says := call("fleet", "logs", t.TempDir())
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, says, "holds no *.log")
+}
--- /dev/null
+++ b/internal/fleetlog/fleetlog_test.go
@@ -0,0 +1,51 @@
+package fleetlog
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	n0 = `[0.24] time=2026-12-01T10:00:00.000Z level=DEBUG msg=listed engine=s-1 state=1 started_ms=1796119200000 zone=0
+time=2026-12-01T10:00:01.100Z level=DEBUG msg=sent call=a class=0 attempt=0 engine=s-1 timeout_ms=900
+time=2026-12-01T10:00:01.200Z level=DEBUG msg=sent call=b class=0 attempt=0 engine=s-1 timeout_ms=900
+time=2026-12-01T10:00:01.300Z level=DEBUG msg=dialled engine=s-1 ms=1 err="connection refused"
+time=2026-12-01T10:00:01.400Z level=DEBUG msg=ended call=a class=0 attempt=0 engine=s-1 outcome=served ms=300 work_ms=5 why=""
+time=2026-12-01T10:00:01.400Z level=DEBUG msg=answered call=a class=0 kind=served attempts=1 why=""
+time=2026-12-01T10:00:05.000Z level=DEBUG msg=listed engine=s-1 state=2 started_ms=0 zone=0
+time=2026-12-01T10:00:05.800Z level=DEBUG msg=sent call=c class=0 attempt=0 engine=s-1 timeout_ms=900
+counters class=lookup taken=3
+`
+	n1 = `time=2026-12-01T10:00:01.500Z level=DEBUG msg=sent call=d class=0 attempt=0 engine=s-1 timeout_ms=900
+time=2026-12-01T10:00:01.600Z level=DEBUG msg=probed engine=s-1 outcome=served ms=1 inflight=2
+time=2026-12-01T10:00:06.250Z level=DEBUG msg=listed engine=s-1 state=2 started_ms=0 zone=0
+time=2026-12-01T10:00:07.000Z level=DEBUG msg=answered call=d class=0 kind=refused attempts=0 why=refused
+time=not-a-time msg=sent engine=s-1
+time=2026-12-01T10:00:07.000Z level=DEBUG msg="broken
+`
+)
+
+func TestAFleetsLogsAddUp(t *testing.T) {
+	f := New(15 * time.Second)
+	require.NoError(t, f.Read("n0", strings.NewReader(n0)))
+	require.NoError(t, f.Read("n1", strings.NewReader(n1)))
+	r := f.Report()
+	require.Equal(t, 2, r.Coordinators)
+	require.Equal(t, 3, r.Unread, "counters, and two lines that can't be read")
+	require.Equal(t, []Rate{{Answers, 2, 2.0 / 7, 1, 1796119201}, {Sends, 4, 0.8, 3, 1796119201}, {Dials, 1, 1, 1, 1796119201},
+		{Probes, 1, 1, 1, 1796119201}}, r.Rates)
+	require.Equal(t, map[string]int{"served": 1}, r.Ends)
+	require.Equal(t, map[string]int{"served": 1, "refused refused": 1}, r.Answers)
+	require.Len(t, r.Engines, 1)
+	e := r.Engines[0]
+	require.Equal(t, []any{4, 1, 1, 1, 3.0}, []any{e.Sends, e.Dials, e.Refused, e.Probes, e.ColdPeak}, "the sum of both in the worst cold second")
+	require.Equal(t, Notice{"s-1", "2", 2, 1250, 1, 800}, r.Notices[0], "one send 800 ms after the word that it drains")
+	require.InDelta(t, 1.0, r.Uneven, 1e-9)
+}
+
+func TestAnEndlessLineIsAnError(t *testing.T) {
+	require.ErrorContains(t, New(0).Read("n0", strings.NewReader(strings.Repeat("x", 2<<20))), "log of n0")
+}
