A cold engine's budget grows with the pace that cold engines of its age have shown

Need: with six in ten engines replaced within 7 s most of the fleet is cold, and until it was surely warm each engine got the budget of its first moment (coldRoom: ColdFrom alone). Change: answers that tell their work show a pace, work over threads over latency, which a loaded engine shows less of, never more. Kept by age in eighths of the cold time; the budget is at least that of the latest age, up to the engine's own, of which three answers tell, never more than the engine can do. Where no work is told the settings' least holds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -292,9 +292,9 @@
 
 // coldRoom keeps a just-started engine standing: what all gateways send within any span stays under
 // what it can surely do. An even part for each of hundreds would hold no query, so gateways take turns
-// of a span, as many at a time as the budget holds of the cheapest long class. It covers restarts of any
-// number of engines under any number of gateways, as each can keep it alone; it could harm where clocks
-// differ by a good part of a span.
+// of a span, as many at a time as the budget holds of the cheapest long class. The budget grows with the
+// pace that cold engines of an age have shown. It covers restarts of any number of engines under any
+// number of gateways, as each can keep it alone; it could harm where clocks differ by a good part of a span.
 func (g *Gateway) coldRoom(e *engine, r *request) bool {
 	if !g.cold(e) {
 		return true
@@ -303,7 +303,8 @@
 	if e.Started <= g.bornAt && g.now < g.bornAt+ru.FallSpan {
 		return false // what this gateway sent before its own restart still counts
 	}
-	part := ru.FallMultiple * ru.ColdFrom * usableCores * e.cores * ru.FallSpan * coldSafety
+	most := ru.FallMultiple * coldSafety // more than an engine can do is of no use to it either
+	part := max(most*ru.ColdFrom, min(most, 1)*g.shown(g.now-e.Started)) * usableCores * e.cores * ru.FallSpan
 	turns := max(min(int(part/g.leastLong()), g.set.Gateways), 1)
 	if g.coldPlace(e) >= turns {
 		return false
--- a/decide/state.go
+++ b/decide/state.go
@@ -152,9 +152,10 @@
 	retries     []Millis
 	buckets     []float64
 	bucketAt    Millis
-	rate        float64 // requests a second, slow
-	asksLeft    float64 // probes that the price allows at present
-	meanWorth   float64 // of what arrives, and its work
+	rate        float64                               // requests a second, slow
+	warming     [warmingAges]struct{ sum, n float64 } // paces that cold engines have shown, by age
+	asksLeft    float64                               // probes that the price allows at present
+	meanWorth   float64                               // of what arrives, and its work
 	meanWork    float64
 	seq         int
 	sends       int
@@ -310,6 +311,28 @@
 	g.held, g.heldThreads = g.held*(1-learnRate)+ev.Latency, g.heldThreads*(1-learnRate)+ev.Latency*threads
 	g.meanThreads = g.heldThreads / max(g.held, 1)
 	g.strained(e, lat-base)
+	if age := (r.sentAt - e.Started) / max(g.set.Rules.ColdFor, 1); ev.Work > 0 && e.Started > 0 && age >= 0 && age < 1 {
+		w := &g.warming[int(age*warmingAges)]
+		w.sum, w.n = w.sum+min(ev.Work/threads/max(ev.Latency, 1), 1), w.n+1
+	}
+}
+
+const (
+	warmingAges = 8   // parts that are told apart of the time in which an engine gets warm
+	enoughPaces = 3.0 // answers that tell a pace: one may have met a busy or an idle engine
+)
+
+// shown is the part of their full pace that cold engines have shown up to an age, of the latest that
+// enough answers tell of; nought: none. A loaded engine shows less than it can do, never more.
+func (g *Gateway) shown(age Millis) float64 {
+	var sum, n float64
+	for i := min(int(age/max(g.set.Rules.ColdFor, 1)*warmingAges), warmingAges-1); i >= 0 && n < enoughPaces; i-- {
+		sum, n = sum+g.warming[i].sum, n+g.warming[i].n
+	}
+	if n < enoughPaces {
+		return 0
+	}
+	return sum / n
 }
 
 // strained takes one piece of evidence of how far the engine is over its best.
