Words of engines that can't be used are counted; what no report tells stays unknown

Need: a report field below 0, absurd or repeated, or a note of an unknown form, must have no effect and be seen. Seen: a negative or unreadable field was left out in silence, a repeated one took the last word, 1e300 was taken as it stood. And a report without inflight (-1, absent) became 0 at the next send: an engine of which nothing is known passed for idle (decide.send, e.report.InFlight++), on any site whose reports lack the field. Change: such fields and notes are left out, counted (odd_reports, odd_notes) and told once a kind; a send adds only to what a report has told. Tests: reports and notes by table, the counters over the real program, the belief after a send; seen to fail without it.

--- a/cmd/aniseloft/second_test.go
+++ b/cmd/aniseloft/second_test.go
@@ -200,3 +200,23 @@
 	close(e.release)
 	require.Equal(t, "a\tb\tc\n", served(t, second.line()))
 }
+
+func TestOddWordsOfEnginesAreCountedAndChangeNothing(t *testing.T) {
+	t.Parallel()
+	p, e := secondWorld(t, false)
+	c := dial(t, p.listen)
+	c.send(query(1, "ridership-report", "odd stay", 9000))
+	seen := func(counter string) {
+		eventually(t, func() bool {
+			_ = p.Process.Signal(syscall.SIGUSR1)
+			return regexp.MustCompile(counter + "=[1-9]").MatchString(p.logged())
+		})
+	}
+	seen("odd_notes")
+	close(e.release)
+	require.Equal(t, "a\tb\tc\n", served(t, c.line()))
+	seen("odd_reports")
+	for _, kind := range []string{"note", "report"} {
+		require.Equal(t, 1, strings.Count(p.logged(), "not used; more of the kind are only counted\" kind="+kind), "one line a kind")
+	}
+}
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -189,6 +189,9 @@
 		w.Header().Set("Never-Ran", "1")
 		w.WriteHeader(503)
 	case e.stays(s):
+		if strings.Contains(s, "odd") {
+			w.Header().Set("Outcome", "singing")
+		}
 		w.WriteHeader(202)
 	default:
 		rows := rowsOf(s)
@@ -197,6 +200,9 @@
 			w.Header().Set("X-Batches", fmt.Sprint(len(rows)))
 			w.Header().Set("X-Spent", "500")
 			w.Header().Set("X-Wanted", "4")
+			if strings.Contains(s, "odd") {
+				w.Header().Set("Load-Report", "inflight:-3;x0:lots")
+			}
 		} else {
 			w.Header().Set("X-Batch", fmt.Sprint(page))
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -593,8 +593,12 @@
 	if e.onTrial {
 		g.trialSeq = g.sends
 	}
-	e.report.InFlight++ // until the next report counts it
-	e.report.Memory += r.mem * grantOver / max(e.mem, 1)
+	if e.report.InFlight >= 0 { // until the next report counts it; what no report tells stays unknown
+		e.report.InFlight++
+	}
+	if e.report.Memory >= 0 {
+		e.report.Memory += r.mem * grantOver / max(e.mem, 1)
+	}
 	e.sent, e.sentSeq = e.lately(g)-float64(len(e.out))+1, g.sends
 	if g.cold(e) {
 		e.coldSent = append(e.coldSent, sample{g.now, c.work})
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1499,3 +1499,19 @@
 		}
 	}
 }
+
+// A report that does not tell what is in flight was taken for one of an idle engine after the next send: -1 and one
+// more made 0, and every query of a thin flow went there.
+func TestWhatNoReportTellsStaysUnknown(t *testing.T) {
+	s := newScript(t, plainSettings(), 8)
+	s.at(0, Arrived{ID: "a", Group: 1, Left: 3000, Cost: 100, MemoryMB: 10})
+	e := s.sentTo("a")
+	s.at(100, AttemptEnded{ID: "a", Engine: e, Outcome: OutcomeServed, Latency: 100, Closed: true,
+		Load: &Load{InFlight: -1, Queue: 0, Util: -1, Latency: -1, Memory: -1, Disk: 0.2}})
+	s.at(110, Arrived{ID: "b", Group: 1, Left: 3000, Cost: 100, MemoryMB: 10})
+	for _, b := range s.g.Beliefs(110) {
+		if b.ID == e && (b.Report.InFlight >= 0 || b.Report.Memory >= 0) {
+			t.Fatalf("after a report without them: in flight %.1f, memory %.2f", b.Report.InFlight, b.Report.Memory)
+		}
+	}
+}
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -65,6 +65,7 @@
 	Keep   bool    // with the end: the connection can carry another call
 	Fresh  bool    // Resume asks on; this connection is of no more use
 	Note   *Note   // word of a query that runs on
+	Odd    bool    // a 202 brought a note that can't be used
 }
 
 // Note is what an engine tells of a query that runs.
@@ -85,14 +86,21 @@
 
 var noteKinds = map[string]NoteKind{"so_far": SoFar, "lacking": Lacking, "waiting": Waiting}
 
-// note reads what a 202 may bring; what can't be used is no note.
-func note(m *httpmsg.Message) *Note {
-	k := noteKinds[strings.TrimSpace(m.Header.Get("Outcome"))]
+// noteMost is more than any engine lacks, in MB.
+const noteMost = 1e9
+
+// note reads what a 202 may bring; what can't be used is odd, and no note.
+func note(m *httpmsg.Message) (n *Note, odd bool) {
+	kind := strings.TrimSpace(m.Header.Get("Outcome"))
+	if kind == "" {
+		return nil, false
+	}
+	k := noteKinds[kind]
 	v, err := strconv.ParseFloat(strings.TrimSpace(m.Header.Get("X-Num")), 64)
-	if k == 0 || err != nil || !(v >= 0) || math.IsInf(v, 0) || k == SoFar && v > 1 {
-		return nil
+	if k == 0 || err != nil || !(v >= 0 && v <= noteMost) || k == SoFar && v > 1 {
+		return nil, true
 	}
-	return &Note{k, v}
+	return &Note{k, v}, false
 }
 
 type state int
@@ -179,7 +187,7 @@
 		step.Out = q.ask()
 	}
 	if m.Status == 202 {
-		step.Note = note(m)
+		step.Note, step.Odd = note(m)
 	}
 	return step, nil
 }
@@ -316,15 +324,29 @@
 	return m.Status, m.Header.Get("Load-Report"), !m.Close && s.http.Idle(), nil
 }
 
-// Report reads "inflight:7;util:0.61"; what is unreadable is left out.
-func Report(text string) map[string]float64 {
-	out := map[string]float64{}
+// reportMost is more than any engine holds or shares out: what is beyond it is no word of load.
+const reportMost = 1e6
+
+// Report reads "inflight:7;util:0.61". What is unreadable, below 0 or absurd, and a name that comes twice,
+// is left out and makes the report odd.
+func Report(text string) (out map[string]float64, odd bool) {
+	out = map[string]float64{}
+	twice := map[string]bool{}
 	for _, part := range strings.SplitN(text, ";", 16) {
 		name, value, ok := strings.Cut(part, ":")
+		name = strings.TrimSpace(name)
 		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if ok && err == nil && !math.IsNaN(v) && !math.IsInf(v, 0) && v >= 0 {
-			out[strings.TrimSpace(name)] = v
+		if !ok || err != nil || !(v >= 0 && v <= reportMost) {
+			odd = true
+			continue
 		}
+		if _, again := out[name]; again {
+			twice[name], odd = true, true
+		}
+		out[name] = v
+	}
+	for name := range twice {
+		delete(out, name)
 	}
-	return out
+	return out, odd
 }
--- a/internal/protocol/engine/engine_test.go
+++ b/internal/protocol/engine/engine_test.go
@@ -25,6 +25,25 @@
 		step, err := q.Feed([]byte(fmt.Sprintf("HTTP/1.1 202 Accepted\r\n%sContent-Length: 0\r\n\r\n", head)))
 		require.NoError(t, err)
 		require.Equal(t, want, step.Note, head)
+		require.Equal(t, want == nil && head != "", step.Odd, head)
 		require.NotEmpty(t, step.Out, "it asks on, whatever the note")
 	}
 }
+
+func TestReportsAreReadForWhatCanBeUsed(t *testing.T) {
+	for text, want := range map[string]struct {
+		got map[string]float64
+		odd bool
+	}{
+		"inflight:7;x0:0.61":             {map[string]float64{"inflight": 7, "x0": 0.61}, false},
+		"inflight:7;novel:1":             {map[string]float64{"inflight": 7, "novel": 1}, false},
+		"inflight:-1;x0:0.5":             {map[string]float64{"x0": 0.5}, true},
+		"inflight:1e300;x0:0.5":          {map[string]float64{"x0": 0.5}, true},
+		"inflight:NaN;x0":                {map[string]float64{}, true},
+		"inflight:3;inflight:9;queue: 2": {map[string]float64{"queue": 2}, true},
+	} {
+		got, odd := Report(text)
+		require.Equal(t, want.got, got, text)
+		require.Equal(t, want.odd, odd, text)
+	}
+}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -45,7 +45,7 @@
 	}
 	res, err := p.converse(ctx, c, q, a.Note)
 	if err == nil {
-		return result(res)
+		return p.result(res)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// The client's answer is due now: it must not wait for the engine's word on the cancel.
@@ -117,6 +117,8 @@
 		out = step.Out
 		if n := step.Note; err == nil && n != nil {
 			note(progressKinds[n.Kind], n.Value)
+		} else if step.Odd {
+			p.lane.odd(oddNote)
 		}
 	}
 	if stop() && step.Keep {
@@ -159,8 +161,8 @@
 	return routing.Result{Outcome: decide.OutcomeConnectFailed, Why: err.Error()}
 }
 
-func result(r *engine.Result) routing.Result {
-	out := routing.Result{Work: r.Work, MemoryMB: r.MemoryMB, Load: load(r.Report), Why: r.Why}
+func (p *paged) result(r *engine.Result) routing.Result {
+	out := routing.Result{Work: r.Work, MemoryMB: r.MemoryMB, Load: p.load(r.Report), Why: r.Why}
 	switch r.End {
 	case engine.Served:
 		out.Outcome, out.Body = decide.OutcomeServed, r.Body
@@ -177,11 +179,14 @@
 }
 
 // load reads a report; what it lacks is below 0, as the module wants it.
-func load(text string) *decide.Load {
+func (p *paged) load(text string) *decide.Load {
 	if text == "" {
 		return nil
 	}
-	u := engine.Report(text)
+	u, odd := engine.Report(text)
+	if odd {
+		p.lane.odd(oddReport)
+	}
 	get := func(k string) float64 {
 		if v, ok := u[k]; ok {
 			return v
@@ -261,9 +266,9 @@
 	status, report, err := p.single(ctx, call)
 	switch {
 	case err == nil && status == 200:
-		return decide.OutcomeServed, load(report)
+		return decide.OutcomeServed, p.load(report)
 	case err == nil:
-		return decide.OutcomeFull, load(report)
+		return decide.OutcomeFull, p.load(report)
 	case errors.Is(err, errNoDescriptor):
 		return decide.OutcomeNotSent, nil
 	case errors.Is(err, io.EOF) || isReset(err): // twice, on connections that came up
