Decode settings once at the start; one place for fatal findings and for oddities

Need: read once more, the change did the same work or wrote the same lines twice. Change: wire.Inspect hands on the settings that it read, so nodeconf no longer decodes them again; wire.Fatal words what ends the start, which stood in two packages; dropped datagrams and unusable words of engines are counted and told by one piece (transport/oddities.go); rehearsals open datagram addresses only where coordinators may talk; the live tests share their sum. The one log line of an odd word now names its engine as from=, as that of a datagram does. Left: addresses of peers are parsed in nodeconf to be checked and in transport to be used.

--- a/internal/emulator/live/day.go
+++ b/internal/emulator/live/day.go
@@ -149,13 +149,10 @@
 		return fmt.Errorf("rehearsal: %w", err)
 	}
 	seeds := des.Stream(d.opt.Seed, "coordinators")
-	for n := range d.s.Coordinators.Count {
-		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.3.1.%d:0", n+1))
-		if err != nil {
-			return fmt.Errorf("rehearsal: %w", err)
+	if d.s.Coordinators.Peers {
+		if err := d.hear(); err != nil {
+			return err
 		}
-		d.peers = append(d.peers, c.LocalAddr().String())
-		_ = c.Close()
 	}
 	for n := range d.s.Coordinators.Count {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.3.0.%d:0", n+1))
@@ -178,6 +175,19 @@
 	return nil
 }
 
+// hear finds an address for each coordinator where others' datagrams come.
+func (d *Day) hear() error {
+	for n := range d.s.Coordinators.Count {
+		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.3.1.%d:0", n+1))
+		if err != nil {
+			return fmt.Errorf("rehearsal: %w", err)
+		}
+		d.peers = append(d.peers, c.LocalAddr().String())
+		_ = c.Close()
+	}
+	return nil
+}
+
 func (d *Day) start(p *process) error {
 	conf, err := d.config(p.n, p.listen, p.seeds.Uint64())
 	if err != nil {
@@ -230,7 +240,7 @@
 	whole := map[string]any{"name": fmt.Sprintf("n%d", n), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
 		"limits":  map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"journal": d.journal.addrs[n], "known": map[string]any{"pos": len(entries), "entries": entries}, "settings": json.RawMessage(set)}
-	if d.s.Coordinators.Peers && n < len(d.peers) { // each has an address of its own; there is no way to all at once
+	if n < len(d.peers) { // each has an address of its own; there is no way to all at once
 		whole["peer_listen"], whole["peers"] = d.peers[n], d.peers
 	}
 	conf, err := json.Marshal(whole)
--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -38,6 +38,14 @@
 	return program
 }
 
+// tally sums first tries and those served over the classes.
+func tally(r *observer.Report) (first, served int) {
+	for _, c := range r.Classes {
+		first, served = first+c.First, served+c.Served
+	}
+	return first, served
+}
+
 // The second deployment's switches over sockets: keys of loads, notes, reports in answers, datagrams, a ration.
 func TestRehearsalOfTheSecondDeployment(t *testing.T) {
 	s, err := scenarios.Load("tournament-sunday")
@@ -59,10 +67,7 @@
 	r, err := live.Run(context.Background(), s, live.Options{Seed: 3, Coordinator: built(t), Log: &printed})
 	require.NoError(t, err)
 	require.Empty(t, r.Rules, printed.String())
-	var first, served int
-	for _, c := range r.Classes {
-		first, served = first+c.First, served+c.Served
-	}
+	first, served := tally(r)
 	require.Greater(t, first, 50)
 	require.GreaterOrEqual(t, served, first*9/10, printed.String())
 	require.Regexp(t, `counters peers sent=[1-9]\d* unsent=\d+ heard=[1-9]\d* stranger=0 oversize=0 unreadable=0`, printed.String())
@@ -92,10 +97,7 @@
 	r, err := live.Run(context.Background(), s, live.Options{Seed: 3, Coordinator: program, Log: &printed})
 	require.NoError(t, err)
 	require.Empty(t, r.Rules, printed.String())
-	var first, served int
-	for _, c := range r.Classes {
-		first, served = first+c.First, served+c.Served
-	}
+	first, served := tally(r)
 	require.Greater(t, first, 60)
 	require.GreaterOrEqual(t, served, first*9/10, "clients come again: few loads at most are lost with a process")
 	require.InEpsilon(t, r.Totals.WorkIn, r.Totals.Served+r.Totals.Wasted+r.Totals.Dropped+r.Totals.Left, 1e-3)
--- a/internal/nodeconf/nodeconf.go
+++ b/internal/nodeconf/nodeconf.go
@@ -58,13 +58,13 @@
 func Parse(raw []byte, over Override) (*Config, []wire.Finding) {
 	var c Config
 	if err := codec.Unmarshal(raw, &c); err != nil {
-		return nil, []wire.Finding{fatal("configuration", "unreadable", err.Error())}
+		return nil, []wire.Finding{wire.Fatal("configuration", "unreadable", err.Error())}
 	}
 	c.Name, c.Listen, c.Admin = cmp.Or(over.Name, c.Name), cmp.Or(over.Listen, c.Listen), cmp.Or(over.Admin, c.Admin)
 	var found []wire.Finding
 	add := func(bad bool, field string, value any, says string) {
 		if bad {
-			found = append(found, fatal(field, fmt.Sprint(value), says))
+			found = append(found, wire.Fatal(field, fmt.Sprint(value), says))
 		}
 	}
 	add(c.Listen == "", "listen", "absent", "the clients' address is needed")
@@ -76,14 +76,13 @@
 	add(err != nil, "seed", strconv.Quote(c.Seed), "up to 16 hexadecimal digits are needed")
 	found = append(found, c.ways()...)
 	if len(c.Raw) == 0 {
-		return nil, append(found, fatal("settings", "absent", "they are needed"))
+		return nil, append(found, wire.Fatal("settings", "absent", "they are needed"))
 	}
-	inspected := wire.Inspect(c.Raw)
+	settings, inspected := wire.Inspect(c.Raw)
 	if len(inspected) > 0 && inspected[0].Fatal || len(found) > 0 {
 		return nil, append(found, inspected...)
 	}
-	c.Settings, err = wire.Settings(c.Raw)
-	add(err != nil, "settings", "as given", fmt.Sprint(err))
+	c.Settings = settings
 	if c.PeerListen != "" && !c.Settings.MayTell {
 		found = append(found, wire.Finding{Field: "peer_listen", Value: c.PeerListen, Says: "the settings do not let coordinators talk",
 			Then: "nothing is opened there"})
@@ -98,7 +97,7 @@
 			return
 		}
 		if _, err := netip.ParseAddrPort(addr); err != nil {
-			found = append(found, fatal(field, addr, "an address as 127.0.0.1:8443 is needed: names are not looked up"))
+			found = append(found, wire.Fatal(field, addr, "an address as 127.0.0.1:8443 is needed: names are not looked up"))
 		}
 	}
 	check("listen", c.Listen)
@@ -111,20 +110,16 @@
 		field := fmt.Sprintf("peers[%d]", i)
 		check(field, a)
 		if first, twice := at[a]; twice {
-			found = append(found, fatal(field, a, fmt.Sprintf("the same as peers[%d]", first)))
+			found = append(found, wire.Fatal(field, a, fmt.Sprintf("the same as peers[%d]", first)))
 		}
 		at[a] = i
 	}
 	if c.Admin != "" && c.Admin == c.Listen {
-		found = append(found, fatal("admin", c.Admin, "the clients' address too"))
+		found = append(found, wire.Fatal("admin", c.Admin, "the clients' address too"))
 	}
 	return found
 }
 
-func fatal(field, value, says string) wire.Finding {
-	return wire.Finding{Field: field, Value: value, Says: says, Then: "the program does not start", Fatal: true}
-}
-
 // Err is the first fatal finding as an error; nil: the configuration can be used.
 func Err(found []wire.Finding) error {
 	for _, f := range found {
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,10 +26,9 @@
 	all  netip.AddrPort // reaches every other; the zero value: each is told for itself
 	self int
 	log  *slog.Logger
-	once [kinds]sync.Once
+	odd  [kinds]oddity
 
 	sent, heard, unsent atomic.Int64
-	odd                 [kinds]atomic.Int64
 }
 
 // Kinds of datagrams that are dropped.
@@ -134,16 +132,12 @@
 	}
 }
 
-// drop counts what can't be used, with one log line a kind.
 func (p *Peers) drop(kind int, from netip.AddrPort) {
-	p.odd[kind].Add(1)
-	p.once[kind].Do(func() {
-		p.log.Warn("datagram dropped; more of the kind are only counted", "kind", kindNames[kind], "from", from.String())
-	})
+	p.odd[kind].saw(p.log, "datagram dropped", kindNames[kind], from.String())
 }
 
 // String is the line of counters.
 func (p *Peers) String() string {
 	return fmt.Sprintf("counters peers sent=%d unsent=%d heard=%d stranger=%d oversize=%d unreadable=%d\n", p.sent.Load(), p.unsent.Load(),
-		p.heard.Load(), p.odd[stranger].Load(), p.odd[oversize].Load(), p.odd[unreadable].Load())
+		p.heard.Load(), p.odd[stranger].seen.Load(), p.odd[oversize].seen.Load(), p.odd[unreadable].seen.Load())
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -61,11 +61,10 @@
 	idle    map[*lane]struct{}
 	log     *slog.Logger
 	counts  struct{ dialled, reused, stolen, expired, stale, spent, resumed atomic.Int64 }
-	odds    [oddKinds]atomic.Int64 // words of engines that could not be used
-	told    [oddKinds]sync.Once
+	odds    [oddKinds]oddity // words of engines that could not be used
 }
 
-// Words of engines that can't be used: they are counted, told once a kind, and change nothing.
+// Kinds of words of engines that can't be used.
 const (
 	oddReport = iota
 	oddNote
@@ -75,10 +74,7 @@
 var oddNames = [oddKinds]string{"report", "note"}
 
 func (l *lane) odd(kind int) {
-	l.pool.odds[kind].Add(1)
-	l.pool.told[kind].Do(func() {
-		l.pool.log.Warn("word of an engine not used; more of the kind are only counted", "kind", oddNames[kind], "engine", l.name)
-	})
+	l.pool.odds[kind].saw(l.pool.log, "word of an engine not used", oddNames[kind], l.name)
 }
 
 // String is the pool's counters.
@@ -88,7 +84,7 @@
 	c := &p.counts
 	return fmt.Sprintf("counters engine_connections open=%d limit=%d dialled=%d reused=%d stolen=%d expired=%d stale=%d spent=%d resumed=%d odd_reports=%d odd_notes=%d\n",
 		p.open, p.limit, c.dialled.Load(), c.reused.Load(), c.stolen.Load(), c.expired.Load(), c.stale.Load(), c.spent.Load(), c.resumed.Load(),
-		p.odds[oddReport].Load(), p.odds[oddNote].Load())
+		p.odds[oddReport].seen.Load(), p.odds[oddNote].seen.Load())
 }
 
 // lane is the idle connections of one engine. A new engine may get an old
--- a/internal/wire/fields_test.go
+++ b/internal/wire/fields_test.go
@@ -157,7 +157,8 @@
 	  {"name":"b","promiseMs":0,"deadlineMs":300,"repeat":"repeatable","gain":1,"colour":"red"}],
 	 "rules":{"coldMs":1000,"repeatRatio":-1},"registryMode":"push"}`
 	var lines []string
-	for _, f := range Inspect([]byte(raw)) {
+	_, found := Inspect([]byte(raw))
+	for _, f := range found {
 		lines = append(lines, f.String())
 	}
 	require.Equal(t, []string{
@@ -179,9 +180,10 @@
 		`lanes[1].colour = "red": this program does not know the field; it is passed over`,
 		`novel = {"x":1}: this program does not know the field; it is passed over`,
 	}, lines)
-	require.True(t, Inspect([]byte(`[`))[0].Fatal)
-	require.Equal(t, `settings = as given: field lanes.repeat: "maybe" is unknown; the program does not start`,
-		Inspect([]byte(`{"lanes":[{"repeat":"maybe"}]}`))[0].String())
+	_, found = Inspect([]byte(`[`))
+	require.True(t, found[0].Fatal)
+	_, found = Inspect([]byte(`{"lanes":[{"repeat":"maybe"}]}`))
+	require.Equal(t, `settings = as given: field lanes.repeat: "maybe" is unknown; the program does not start`, found[0].String())
 	_, err := decide.New(decide.Settings{}, 1)
 	require.Error(t, err)
 }
--- a/internal/wire/inspect.go
+++ b/internal/wire/inspect.go
@@ -23,30 +23,32 @@
 	return fmt.Sprintf("%s = %s: %s; %s", f.Field, f.Value, f.Says, f.Then)
 }
 
-const (
-	endsStart = "the program does not start"
-	valueMost = 60 // bytes of a value that a line shows
-)
+// Fatal is a finding that ends the start.
+func Fatal(field, value, says string) Finding {
+	return Finding{field, value, says, "the program does not start", true}
+}
+
+const valueMost = 60 // bytes of a value that a line shows
 
-// Inspect tells all that is wrong with settings, the fatal things first. What it leaves out is
-// read as docs/settings.md says.
-func Inspect(raw []byte) []Finding {
+// Inspect reads settings and tells all that is wrong with them, the fatal things first: with one of
+// those they can't be used. What it leaves out is read as docs/settings.md says.
+func Inspect(raw []byte) (decide.Settings, []Finding) {
 	var tree map[string]any
 	if err := json.Unmarshal(raw, &tree); err != nil {
-		return []Finding{{"settings", short(string(raw)), err.Error(), endsStart, true}}
+		return decide.Settings{}, []Finding{Fatal("settings", short(string(raw)), err.Error())}
 	}
 	var found []Finding
 	s, err := Settings(raw)
 	if err != nil {
-		found = append(found, Finding{"settings", "as given", err.Error(), endsStart, true})
+		found = append(found, Fatal("settings", "as given", err.Error()))
 	} else {
 		for _, p := range decide.Problems(&s) {
 			path := pathOf(p.Field)
-			f := Finding{path, valueAt(tree, path), p.Says, p.Then, p.Fatal}
 			if p.Fatal {
-				f.Then = endsStart
+				found = append(found, Fatal(path, valueAt(tree, path), p.Says))
+			} else {
+				found = append(found, Finding{path, valueAt(tree, path), p.Says, p.Then, false})
 			}
-			found = append(found, f)
 		}
 	}
 	known := map[string]bool{}
@@ -61,14 +63,15 @@
 	}
 	unknown(tree, "", known, &found)
 	slices.SortStableFunc(found, func(a, b Finding) int {
-		if a.Fatal != b.Fatal && a.Fatal {
+		switch {
+		case a.Fatal == b.Fatal:
+			return 0
+		case a.Fatal:
 			return -1
-		} else if a.Fatal != b.Fatal {
-			return 1
 		}
-		return 0
+		return 1
 	})
-	return found
+	return s, found
 }
 
 // unknown finds the fields that Fields lacks, in the order of their names.
