Ownership of fleet-wide jobs under leases and fences, and drills of it in virtual time

internal/ownership is the decisions, without I/O or clock: a council of 1, 3 or 5 seats agrees through go.etcd.io/raft on who owns a job; leases count from before the question, renewals need a proof of leadership and no sync; the fence is checked at the target with its holder. internal/drill plays the very machines in virtual time with a network, disks and clocks that fail; drills/ holds 23 plans.

--- /dev/null
+++ b/internal/ownership/book.go
@@ -0,0 +1,153 @@
+// Package ownership decides who does work on behalf of the whole fleet: one owner of a job
+// at a time, agreed by a council of coordinators under a lease, each grant with a fence that
+// only grows. It is a set of machines that know no socket, no disk and no clock: they are fed
+// messages and times, and say what must be made durable, sent and told. The agreement itself
+// is Raft, from go.etcd.io/raft; what is here is what the council agrees on, when it may be
+// agreed, and what a member may take from it. docs/ownership.md has the argument for safety.
+package ownership
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Millis is a time by one process's own clock, which never steps back. Two processes' times
+// are never compared.
+type Millis = float64
+
+// Fence is the number of a grant. Of two grants of one job the later has the higher.
+type Fence uint64
+
+// Holder is one run of one member: a process that is started again is another holder.
+type Holder struct {
+	Name string `json:"name"`
+	Boot uint64 `json:"boot"` // drawn at the start of the process
+}
+
+// String is the holder as logs and targets of fenced acts name it.
+func (h Holder) String() string { return fmt.Sprintf("%s/%x", h.Name, h.Boot) }
+
+// Line is what the council holds true of one job.
+type Line struct {
+	Fence  Fence   `json:"fence"`            // of the newest grant; 0: there was none
+	Holder *Holder `json:"holder,omitempty"` // nil: free
+	Wanted string  `json:"wanted,omitempty"` // whom an operator wants to own it; empty: the council chooses
+}
+
+// Entry is one line of the book's history.
+type Entry struct {
+	Index uint64 `json:"index"` // of the log
+	Job   string `json:"job"`
+	Fence Fence  `json:"fence"`
+	Who   string `json:"who,omitempty"`
+	What  string `json:"what"`
+	Why   string `json:"why,omitempty"`
+}
+
+// historyMost is how many lines of history are kept: some days of a calm fleet.
+const historyMost = 256
+
+// Book is the replicated state: the same commands in the same order make the same book.
+type Book struct {
+	Council    uint64            `json:"council"` // the founder's number: two councils never mix
+	Generation uint64            `json:"generation"`
+	Seats      map[uint64]string `json:"seats"` // names by number
+	Jobs       map[string]*Line  `json:"jobs"`
+	History    []Entry           `json:"history"`
+}
+
+func newBook() *Book { return &Book{Seats: map[uint64]string{}, Jobs: map[string]*Line{}} }
+
+func (b *Book) encode() []byte {
+	out, _ := json.Marshal(b) // plain fields: it can't fail
+	return out
+}
+
+func decodeBook(raw []byte) (*Book, error) {
+	b := newBook()
+	if err := json.Unmarshal(raw, b); err != nil {
+		return nil, fmt.Errorf("ownership: snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// Kinds of commands.
+const (
+	cmdAssign = "assign" // a free job gets an owner and the next fence
+	cmdFree   = "free"   // the owner's lease has run out, or it gave the job back
+	cmdRaise  = "raise"  // a target has seen a higher fence than the council knows of
+	cmdWant   = "want"   // an operator's word
+	cmdFile   = "file"   // the generation of the council's file
+)
+
+// command is one change of the book.
+type command struct {
+	Kind       string  `json:"k"`
+	Job        string  `json:"j,omitempty"`
+	Fence      Fence   `json:"f,omitempty"` // that the job must have, or what it is raised to
+	Holder     *Holder `json:"h,omitempty"`
+	Name       string  `json:"n,omitempty"`
+	Why        string  `json:"w,omitempty"`
+	Generation uint64  `json:"g,omitempty"`
+}
+
+var errStale = errors.New("ownership: the job has moved on")
+
+// apply carries out a command; errStale: it came too late and changes nothing.
+func (b *Book) apply(index uint64, c command) error {
+	if c.Kind == cmdFile {
+		b.Generation = max(b.Generation, c.Generation)
+		return nil
+	}
+	l := b.Jobs[c.Job]
+	if l == nil {
+		l = &Line{}
+		b.Jobs[c.Job] = l
+	}
+	e := Entry{Index: index, Job: c.Job, What: c.Kind, Why: c.Why}
+	switch c.Kind {
+	case cmdAssign:
+		if l.Holder != nil || l.Fence != c.Fence || c.Holder == nil {
+			return errStale
+		}
+		l.Fence++
+		l.Holder = c.Holder
+		e.Who = c.Holder.String()
+	case cmdFree:
+		if l.Holder == nil || l.Fence != c.Fence {
+			return errStale
+		}
+		e.Who = l.Holder.String()
+		l.Holder = nil
+	case cmdRaise:
+		if l.Fence >= c.Fence {
+			return errStale
+		}
+		// Whoever holds the job now has a fence that its target refuses: it is free.
+		l.Fence, l.Holder = c.Fence, nil
+	case cmdWant:
+		l.Wanted = c.Name
+		e.Who = c.Name
+	default: // of a newer version: passed over alike by all of this one
+		return fmt.Errorf("ownership: unknown command %q", c.Kind)
+	}
+	e.Fence = l.Fence
+	b.History = append(b.History, e)
+	if n := len(b.History) - historyMost; n > 0 {
+		b.History = slices.Delete(b.History, 0, n)
+	}
+	return nil
+}
+
+// number is the seat's number in the council; 0: it has none.
+func (b *Book) number(name string) uint64 {
+	var found uint64
+	for id, n := range b.Seats {
+		if n == name && id > found {
+			found = id
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/ownership/call.go
@@ -0,0 +1,176 @@
+package ownership
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// What operators may ask of a seat.
+const (
+	OpStatus   = "status"
+	OpHistory  = "history"
+	OpMove     = "move"      // Job to Name; an empty name lets the council choose again
+	OpStepDown = "step-down" // the leader hands the council to another seat
+)
+
+// Call is an operator's call.
+type Call struct {
+	Seq  uint64 `json:"seq"`
+	Op   string `json:"op"`
+	Job  string `json:"job,omitempty"`
+	Name string `json:"name,omitempty"`
+}
+
+// Answer is what a call comes to.
+type Answer struct {
+	Seq     uint64  `json:"seq"`
+	Leader  string  `json:"leader,omitempty"` // who is to be asked instead
+	Error   string  `json:"error,omitempty"`
+	Status  *Status `json:"status,omitempty"`
+	History []Entry `json:"history,omitempty"`
+}
+
+// Status is the council as one seat sees it.
+type Status struct {
+	Seat       string         `json:"seat"`
+	Leader     string         `json:"leader"` // empty: none is known
+	Term       uint64         `json:"term"`
+	Council    string         `json:"council"`
+	Generation uint64         `json:"generation"`
+	Seats      []string       `json:"seats"`
+	Jobs       []JobStatus    `json:"jobs"`
+	Members    []MemberStatus `json:"members,omitempty"` // the leader alone knows them
+}
+
+// JobStatus is one job's line.
+type JobStatus struct {
+	Job    string `json:"job"`
+	Fence  Fence  `json:"fence"`
+	Owner  string `json:"owner"`
+	Wanted string `json:"wanted,omitempty"`
+	// AgeMS is how long ago the owner last asked in time; the leader alone knows it.
+	AgeMS float64 `json:"age_ms"`
+}
+
+// MemberStatus is one member that the leader hears.
+type MemberStatus struct {
+	Name     string  `json:"name"`
+	AgeMS    float64 `json:"age_ms"`
+	Room     float64 `json:"room"`
+	Leaving  bool    `json:"leaving,omitempty"`
+	HeldDown bool    `json:"held_down,omitempty"`
+}
+
+var errMoved = errors.New("the council has another leader since; ask again")
+
+// Status is the council as this seat sees it.
+func (s *Seat) Status() *Status {
+	st := s.node.BasicStatus()
+	out := &Status{Seat: s.opt.Name, Leader: s.leader(), Term: st.HardState.GetTerm(), Council: fmt.Sprintf("%016x", s.book.Council),
+		Generation: s.book.Generation}
+	for _, id := range s.conf.GetVoters() {
+		out.Seats = append(out.Seats, s.book.Seats[id])
+	}
+	slices.Sort(out.Seats)
+	for _, job := range s.opt.Jobs {
+		j := JobStatus{Job: job}
+		if l := s.book.Jobs[job]; l != nil {
+			j.Fence, j.Owner, j.Wanted = l.Fence, nameOf(l.Holder), l.Wanted
+			if at, ok := s.renewed[job]; ok && s.leads && l.Holder != nil {
+				j.AgeMS = s.now - at
+			}
+		}
+		out.Jobs = append(out.Jobs, j)
+	}
+	if s.leads {
+		for name, p := range s.members {
+			out.Members = append(out.Members, MemberStatus{name, s.now - p.heard, p.beat.Room, p.beat.Leaving, s.heldDown(p)})
+		}
+		slices.SortFunc(out.Members, func(a, b MemberStatus) int {
+			if a.Name < b.Name {
+				return -1
+			}
+			return 1
+		})
+	}
+	return out
+}
+
+func (s *Seat) answer(c Call, st *Status, err error) {
+	a := Answer{Seq: c.Seq, Status: st}
+	if err != nil {
+		a.Error = err.Error()
+	}
+	s.out.Answers = append(s.out.Answers, a)
+}
+
+// Ask takes an operator's call; the answer is in Out, at once or once the council has agreed.
+func (s *Seat) Ask(now Millis, c Call) {
+	s.now = now
+	switch {
+	case c.Op == OpStatus:
+		s.answer(c, s.Status(), nil)
+	case c.Op == OpHistory:
+		s.out.Answers = append(s.out.Answers, Answer{Seq: c.Seq, History: slices.Clone(s.book.History)})
+	case c.Op != OpMove && c.Op != OpStepDown:
+		s.answer(c, nil, fmt.Errorf("%q is no call; status, history, move and step-down are", c.Op))
+	case !s.leads && s.leader() != "" && s.leader() != s.opt.Name:
+		s.out.Answers = append(s.out.Answers, Answer{Seq: c.Seq, Leader: s.leader()})
+	case !s.leads:
+		s.answer(c, nil, errors.New("the council has no leader now: nothing can be changed until a majority of its seats hear each other"))
+	case c.Op == OpStepDown:
+		s.answer(c, nil, s.stepDown())
+	case !slices.Contains(s.opt.Jobs, c.Job):
+		s.answer(c, nil, fmt.Errorf("%q is no job; %v are", c.Job, s.opt.Jobs))
+	case c.Name != "" && s.members[c.Name] == nil:
+		s.answer(c, nil, fmt.Errorf("nothing is heard of a member %q", c.Name))
+	case !s.propose(command{Kind: cmdWant, Job: c.Job, Name: c.Name, Why: "by hand"}):
+		s.answer(c, nil, errMoved)
+	default:
+		s.askSeq++
+		s.asking[s.askSeq] = c
+	}
+	s.settle()
+}
+
+// stepDown hands the council to the seat that has the most of its log.
+func (s *Seat) stepDown() error {
+	var to, most uint64
+	for id, pr := range s.node.Status().Progress {
+		if id != s.opt.Number && slices.Contains(s.conf.GetVoters(), id) && pr.RecentActive && pr.Match >= most {
+			to, most = id, pr.Match
+		}
+	}
+	if to == raft.None {
+		return errors.New("no other seat is there to lead")
+	}
+	s.node.TransferLeader(to)
+	return nil
+}
+
+func unmarshal(raw []byte, m proto.Message) error {
+	if err := proto.Unmarshal(raw, m); err != nil {
+		return fmt.Errorf("ownership: %w", err)
+	}
+	return nil
+}
+
+// EncodeMessage and DecodeMessage are a message of the agreement as bytes.
+func EncodeMessage(m *raftpb.Message) []byte {
+	raw, _ := proto.Marshal(m) // made by the library: it can't fail
+	return raw
+}
+
+// DecodeMessage reads what EncodeMessage wrote.
+func DecodeMessage(raw []byte) (*raftpb.Message, error) {
+	m := &raftpb.Message{}
+	return m, unmarshal(raw, m)
+}
+
+// Leads tells whether this seat leads, as far as it knows.
+func (s *Seat) Leads() bool { return s.leads }
--- /dev/null
+++ b/internal/ownership/finder.go
@@ -0,0 +1,61 @@
+package ownership
+
+import "slices"
+
+// beatsALease is how often a member asks within one lease: several may be lost before a lease is.
+const beatsALease = 10
+
+// Finder decides which seat a member asks, and when.
+type Finder struct {
+	seats  []string
+	at     int
+	lease  Millis
+	due    Millis
+	asked  Millis // the oldest beat without an answer; below 0: none
+	misled int    // answers in a row that named another
+}
+
+// NewFinder returns a finder over the seats' names; first is where to begin, so that many
+// members begin apart.
+func NewFinder(seats []string, first int, lease Millis) *Finder {
+	return &Finder{seats: seats, at: first % len(seats), lease: lease, asked: -1}
+}
+
+// Due tells whether a beat is to go out now, and to whom.
+func (f *Finder) Due(now Millis) (seat string, yes bool) {
+	if now < f.due {
+		return "", false
+	}
+	every := f.lease / beatsALease
+	if f.asked >= 0 && now-f.asked > 2*every { // it is gone, cut off, or leads no more
+		f.at, f.asked = (f.at+1)%len(f.seats), -1
+	}
+	f.due = now + every
+	if f.asked < 0 {
+		f.asked = now
+	}
+	return f.seats[f.at], true
+}
+
+// At is whom the next beat goes to.
+func (f *Finder) At() string { return f.seats[f.at] }
+
+// Answered takes an answer. One that names another seat as the leader is followed at once, but not
+// round and round while the seats disagree.
+func (f *Finder) Answered(now Millis, r Reply) {
+	f.asked = -1
+	if r.Leader == "" {
+		f.misled = 0
+		return
+	}
+	if i := slices.Index(f.seats, r.Leader); i >= 0 && i != f.at && f.misled < len(f.seats) {
+		f.at, f.due = i, now
+		f.misled++
+		return
+	}
+	f.misled = 0
+	f.at = (f.at + 1) % len(f.seats)
+}
+
+// Soon has the next beat go out at once: there is something to give back.
+func (f *Finder) Soon(now Millis) { f.due = now }
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -4,7 +4,8 @@
 import _ "embed"
 
 // Scenario describes a day to rehearse; Plan an experiment; Rest the paged REST front
-// and its spool, deploy/rest.json; Log what the coordinator logs, deploy/log.json.
+// and its spool, deploy/rest.json; Log what the coordinator logs, deploy/log.json; Drill what
+// goes wrong among many coordinators.
 var (
 	//go:embed scenario.schema.json
 	Scenario []byte
@@ -14,4 +15,6 @@
 	Rest []byte
 	//go:embed log.schema.json
 	Log []byte
+	//go:embed drill.schema.json
+	Drill []byte
 )
