--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -17,7 +17,7 @@
 )
 
 func checks() *cobra.Command {
-	return group("check", "Check an operators' file before it is used", checkConfig(), checkRest(), checkLog())
+	return group("check", "Check an operators' file before it is used", checkConfig(), checkRest(), checkLog(), checkFleet())
 }
 
 func checkRest() *cobra.Command {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -45,7 +45,7 @@
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
 		return usage(fmt.Errorf("%w; see %s --help", err, c.CommandPath()))
 	})
-	root.AddCommand(emulate(), experiments(), spools(), checks(), fleet())
+	root.AddCommand(emulate(), experiments(), spools(), checks(), fleet(), drillCmd())
 	err := root.Execute()
 	if err == nil {
 		return ExitOK
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -15,7 +15,7 @@
 )
 
 func fleet() *cobra.Command {
-	return group("fleet", "What many coordinators did together", fleetLogs())
+	return group("fleet", "What many coordinators do together", append(fleetCouncil(), fleetLogs())...)
 }
 
 func fleetLogs() *cobra.Command {
--- a/internal/drill/check.go
+++ b/internal/drill/check.go
@@ -17,6 +17,7 @@
 	RuleOne     = "one"     // no two owners at one time, each by its own belief
 	RuleOrder   = "order"   // acts and refusals are those of one register that only grows
 	RuleRequest = "request" // no request lost, no rule of the wire broken
+	RuleOwned   = "owned"   // the jobs are done at all
 )
 
 // Broken is one break of a rule.
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -54,14 +54,14 @@
 type Fault struct {
 	Kind   string  `json:"kind"`
 	AtMS   float64 `json:"at_ms"`
-	ForMS  float64 `json:"for_ms"`
-	Who    string  `json:"who"`  // n0, leader, owner, seat, any
-	To     string  `json:"to"`   // of a cut: the other side; empty: everybody
-	Way    string  `json:"way"`  // of a cut
-	Disk   string  `json:"disk"` // after a kill
-	Size   float64 `json:"size"`
-	SizeMS float64 `json:"size_ms"`
-	Count  int     `json:"count"`
+	ForMS  float64 `json:"for_ms,omitempty"`
+	Who    string  `json:"who,omitempty"`  // n0, leader, owner, seat, any
+	To     string  `json:"to,omitempty"`   // of a cut: the other side; empty: everybody
+	Way    string  `json:"way,omitempty"`  // of a cut
+	Disk   string  `json:"disk,omitempty"` // after a kill
+	Size   float64 `json:"size,omitempty"`
+	SizeMS float64 `json:"size_ms,omitempty"`
+	Count  int     `json:"count,omitempty"`
 }
 
 // Drill is a plan: who is there, for how long, and what goes wrong.
@@ -77,8 +77,8 @@
 	DriftBound float64  `json:"drift_bound"` // what the processes are told of clocks
 	OwnedLeast float64  `json:"owned_least"` // of the time in which the jobs must have an owner
 	Faults     []Fault  `json:"faults"`
-	Drawn      int      `json:"drawn"`    // so many more, drawn from the seed
-	Scenario   string   `json:"scenario"` // of clients and engines, with real processes; empty: none
+	Drawn      int      `json:"drawn"`              // so many more, drawn from the seed
+	Scenario   string   `json:"scenario,omitempty"` // of clients and engines, with real processes; empty: none
 }
 
 // Parse reads a drill's file and checks it. Errors are scenario.Faults.
--- a/internal/emulator/live/clients.go
+++ b/internal/emulator/live/clients.go
@@ -164,9 +164,15 @@
 			})
 		})
 	}
+	d.mu.Lock()
+	frozen := d.frozen[n]
+	d.mu.Unlock()
 	d.book.mu.Lock()
 	d.book.calls[id] = c
 	d.book.obs.Taken(now, n, c.req)
+	if frozen {
+		d.book.obs.Froze(n)
+	}
 	d.book.mu.Unlock()
 	params := map[string]any{"call": id, "ttl": max(until-d.clock.Now(), 1), "work": cl.q.GuessWork,
 		"ram": cl.q.GuessMB, "doc": base64.StdEncoding.EncodeToString([]byte(statement))}
@@ -224,8 +230,8 @@
 // lostTry is a connection that ended without an answer: by its coordinator's death, or it broke the rule.
 func (d *Day) lostTry(at float64, c *call) {
 	d.book.with(func(o *observer.Observer) {
+		o.Gone(at, c.coord, c.req)
 		if at > d.diedAt(c.coord) {
-			o.Gone(at, c.coord, c.req)
 			o.Break(observer.OneAnswer, at, "%s: its connection ended without an answer", c.req.Name)
 		}
 	})
--- a/internal/emulator/live/day.go
+++ b/internal/emulator/live/day.go
@@ -29,6 +29,13 @@
 	Coordinator string    // the program; empty: only serve, nobody asks
 	Log         io.Writer // what coordinators print
 	Progress    func(now, end float64)
+	// Home is where coordinator n runs, with operators' files of its own, what is added to its environment
+	// and where its log goes. Nil: a directory of the rehearsal's, without such files, and Log.
+	Home func(n int) (dir string, env []string, log io.Writer)
+	// Way is the address by which coordinator n reaches what listens at addr. Nil: straight.
+	Way func(n int, addr string) (string, error)
+	// Rig is called as the day begins, to let further troubles befall the coordinators.
+	Rig func(ctx context.Context, r *Rig)
 	// Serving is called once all listens, with the configuration of a coordinator that
 	// is to be started by hand.
 	Serving func(journals []string, config func(n int, listen string) ([]byte, error)) error
@@ -56,6 +63,7 @@
 	dir     string
 	mu      sync.Mutex
 	died    map[int]float64
+	frozen  map[int]bool // coordinators that stand still
 	kept    []func()
 }
 
@@ -71,7 +79,7 @@
 
 // Run serves a day, or rehearses it with real coordinators, until it is over or ctx ends.
 func Run(ctx context.Context, s *scenario.Scenario, opt Options) (*observer.Report, error) {
-	d := &Day{s: s, opt: opt, tl: s.Timeline(opt.Seed), slow: 1, died: map[int]float64{}, clock: newClock(),
+	d := &Day{s: s, opt: opt, tl: s.Timeline(opt.Seed), slow: 1, died: map[int]float64{}, frozen: map[int]bool{}, clock: newClock(),
 		book: &Book{obs: observer.New(s, socketSlack), calls: map[string]*call{}}}
 	d.asks = s.Arrivals(opt.Seed, d.tl)
 	d.front = clients.NewFront(s, des.Stream(opt.Seed, "front"))
@@ -205,6 +213,10 @@
 	cmd.Dir = d.dir // no operator's file applies there
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_LISTEN="+p.listen, fmt.Sprintf("LB_NAME=n%d", p.n))
 	cmd.Stdout, cmd.Stderr = d.opt.Log, d.opt.Log
+	if d.opt.Home != nil {
+		dir, env, log := d.opt.Home(p.n)
+		cmd.Dir, cmd.Env, cmd.Stdout, cmd.Stderr = dir, append(cmd.Env, env...), log, log
+	}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("coordinator: %w; name the program with --coordinator", err)
 	}
@@ -237,9 +249,15 @@
 			d.journal.told(n, s)
 		}
 	}
+	journal := d.journal.addrs[n]
+	if d.opt.Way != nil {
+		if journal, err = d.opt.Way(n, journal); err != nil {
+			return nil, err
+		}
+	}
 	whole := map[string]any{"name": fmt.Sprintf("n%d", n), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
 		"limits":  map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
-		"journal": d.journal.addrs[n], "known": map[string]any{"pos": len(entries), "entries": entries}, "settings": json.RawMessage(set)}
+		"journal": journal, "known": map[string]any{"pos": len(entries), "entries": entries}, "settings": json.RawMessage(set)}
 	if n < len(d.peers) { // each has an address of its own; there is no way to all at once
 		whole["peer_listen"], whole["peers"] = d.peers[n], d.peers
 	}
@@ -305,6 +323,9 @@
 	if d.opt.Coordinator == "" {
 		end = d.s.DurationMS
 	}
+	if d.opt.Rig != nil {
+		d.opt.Rig(ctx, &Rig{d, ctx})
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
@@ -354,9 +375,11 @@
 
 func (d *Day) report() (*observer.Report, error) {
 	now := d.clock.Now()
+	var ends sync.WaitGroup
 	for _, p := range d.nodes { // a planned end: nothing is open any more
-		d.stop(p, syscall.SIGTERM)
+		ends.Go(func() { d.stop(p, syscall.SIGTERM) })
 	}
+	ends.Wait()
 	var in, done, dropped, left float64
 	for _, e := range d.fleet {
 		b, l := e.books()
--- a/internal/emulator/observer/observer.go
+++ b/internal/emulator/observer/observer.go
@@ -46,6 +46,7 @@
 	Until    float64 // the client waits until then
 	taken    float64
 	over     bool
+	excused  bool // its coordinator stood still: its time does not bind
 	mayRun   bool // an attempt is out, or ended without proof that it never ran
 	firstRun float64
 	out      int
@@ -179,6 +180,15 @@
 	o.Began(coord)
 }
 
+// Froze tells that a coordinator stands still by no fault of its own: what it has open is owed no answer in time.
+func (o *Observer) Froze(coord int) {
+	for r, c := range o.open {
+		if c == coord {
+			r.excused = true
+		}
+	}
+}
+
 // Told is word of an engine's state that reached a coordinator.
 func (o *Observer) Told(at float64, coord int, id decide.EngineID, state decide.EngineState) {
 	if was, ok := o.told[coord][id]; !ok || was.state != state {
@@ -208,7 +218,7 @@
 		o.Break(OneAnswer, at, "%s: a second answer", r.Name)
 		return
 	}
-	if limit := r.Until + o.s.Rules.AnswerSlackMS + o.slack; at > limit {
+	if limit := r.Until + o.s.Rules.AnswerSlackMS + o.slack; at > limit && !r.excused {
 		o.Break(OneAnswer, at, "%s: answered %.1f ms after its time", r.Name, at-r.Until)
 	}
 	c := o.s.Classes[r.Class]
@@ -223,7 +233,7 @@
 
 // Gone is a request whose client left: no answer is owed unless its time is up.
 func (o *Observer) Gone(at float64, coord int, r *Request) {
-	if limit := r.Until + o.s.Rules.AnswerSlackMS + o.slack; at > limit {
+	if limit := r.Until + o.s.Rules.AnswerSlackMS + o.slack; at > limit && !r.excused {
 		o.Break(OneAnswer, at, "%s: not answered in its time", r.Name)
 	}
 	o.close(coord, r)
--- /dev/null
+++ b/internal/fleetconf/fleetconf_test.go
@@ -0,0 +1,48 @@
+package fleetconf
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFaultsNameTheirPlace(t *testing.T) {
+	const seats = `"seats":[{"name":"a","addr":"127.0.0.1:1"},{"name":"b","addr":"127.0.0.1:2"},{"name":"c","addr":"127.0.0.1:3"}]`
+	for raw, pointer := range map[string]string{
+		`{"installation":"x","generation":1,"directory":"d",` + seats + `}`: "",
+		`{}`:                                  "",
+		`{"installation":""}`:                 "",
+		`{"instalation":"x"}`:                 "/",
+		`{"seats":[{"name":"a","addr":"b"}]}`: "/installation",
+		`{"installation":"x","generation":1}`: "/seats",
+		`{"installation":"x","directory":"d",` + seats + `}`: "/generation",
+		`{"installation":"x","generation":1,` + seats + `}`:  "/directory",
+		`{"installation":"x","generation":1,"directory":"d","seats":[{"name":"a","addr":"127.0.0.1:1"},{"name":"b","addr":"127.0.0.1:2"}]}`:                                   "/seats",
+		`{"installation":"x","generation":1,"directory":"d","seats":[{"name":"a","addr":"host:1"}]}`:                                                                          "/seats/0/addr",
+		`{"installation":"x","generation":1,"directory":"d","seats":[{"name":"","addr":"127.0.0.1:1"}]}`:                                                                      "/seats/0/name",
+		`{"installation":"x","generation":1,"directory":"d","seats":[{"name":"a","addr":"127.0.0.1:1"},{"name":"a","addr":"127.0.0.1:2"},{"name":"c","addr":"127.0.0.1:3"}]}`: "/seats/1/name",
+		`{"installation":"x","generation":1,"directory":"d","seats":[{"name":"a","addr":"127.0.0.1:1"},{"name":"b","addr":"127.0.0.1:1"},{"name":"c","addr":"127.0.0.1:3"}]}`: "/seats/1/addr",
+		`{"installation":"x","generation":1,"directory":"d","jobs":["dance"],` + seats + `}`:                                                                                  "/jobs/0",
+		`{"installation":"x","generation":1,"directory":"d","jobs":["prune-record","prune-record"],` + seats + `}`:                                                            "/jobs/1",
+		`{"installation":"x","generation":1,"directory":"d","lease_ms":10,` + seats + `}`:                                                                                     "/lease_ms",
+		`{"installation":"x","generation":1,"directory":"d","drift_bound":0.5,` + seats + `}`:                                                                                 "/drift_bound",
+		`{"installation":"x","generation":1,"directory":"d","room":-1,` + seats + `}`:                                                                                         "/room",
+	} {
+		_, err := Parse([]byte(raw))
+		if pointer == "" {
+			require.NoError(t, err, raw)
+			continue
+		}
+		var f Fault
+		require.True(t, errors.As(err, &f), raw)
+		require.Equal(t, pointer, f.Pointer, raw)
+		require.NotEmpty(t, f.Mend)
+	}
+}
+
+func TestTimesFollowTheLease(t *testing.T) {
+	usual, long := Config{}.Timing(), Config{LeaseMS: 8000}.Timing()
+	require.Equal(t, usual.Tick*4, long.Tick)
+	require.Less(t, usual.Tick*float64(2*usual.Election), usual.Lease, "an election ends within a lease")
+}
--- a/internal/ownership/member.go
+++ b/internal/ownership/member.go
@@ -222,3 +222,6 @@
 	Why   string
 	Until Millis
 }
+
+// Self is who this member is.
+func (m *Member) Self() Holder { return m.self }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -17,6 +17,7 @@
 
 	"aniseloft/internal/logconf"
 	"aniseloft/internal/nodeconf"
+	"aniseloft/internal/ownership"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/restconf"
 	"aniseloft/internal/routing"
@@ -91,6 +92,8 @@
 	restFront *transport.Listener
 	store     *store.Store
 	spool     *spool.Store // nil where it is off
+
+	council *transport.Council // this coordinator's part in the fleet; nil where it is off
 }
 
 // Run is the whole life of the program; it returns the exit code.
@@ -119,6 +122,9 @@
 			if p.Phase() == Serving {
 				p.enter(Draining)
 				p.handOver()
+				if p.council != nil {
+					p.council.Leave()
+				}
 			}
 		case <-reload:
 			p.reload()
@@ -213,10 +219,20 @@
 	if p.peers != nil {
 		p.core.Peers = p.peers
 	}
+	fleetConf, err := loadFleet()
+	if err != nil {
+		return err
+	}
+	if err := p.startFleet(fleetConf); err != nil {
+		return err
+	}
 	p.live = registerLive(os.TempDir())
 	p.state = newStateFile()
 	p.readState(p.state, true)
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
+	if p.council.Has(ownership.JobJournal) {
+		p.roster.Share(transport.NewSharedList(p.council, p.log))
+	}
 	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: p.ready, Take: p.drain.take, Leaving: p.leaving,
 		In: transport.NewBudget(p.memory(inShare)), Out: transport.NewBudget(p.memory(answerShare))}
 	if p.front, err = transport.Listen(p.conf.Listen, clients-restClients, p.log, clientFront.Serve); err != nil {
@@ -235,6 +251,7 @@
 			return err
 		}
 	}
+	p.runFleet(ctx)
 	go p.core.Run(ctx)
 	if p.peers != nil {
 		go p.peers.Run(ctx, p.core.Heard)
@@ -270,6 +287,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Spool: p.spool, Keep: time.Duration(c.KeepSeconds) * time.Second,
+		Node: p.conf.Name, Every: time.Duration(c.PurgeMS) * time.Millisecond, Fleet: p.council,
 		Pass: p.ready, Take: p.drain.take, Leaving: p.leaving, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
@@ -294,7 +312,7 @@
 // drained tells whether the program, once told to end, has taken for as long as
 // the platform sends and finished what was open.
 func (p *Program) drained() bool {
-	return p.Phase() == Draining && time.Since(p.since) >= drainLeast && p.idle()
+	return p.Phase() == Draining && time.Since(p.since) >= drainLeast && p.idle() && p.handedOn()
 }
 
 // close ends the parts in the order in which they feed each other.
@@ -330,6 +348,13 @@
 	if !reflect.DeepEqual(c.Settings, p.conf.Settings) || c.Limits != p.conf.Limits || c.Listen != p.conf.Listen {
 		p.log.Warn("only the journal's address is reloaded: other changes need a restart")
 	}
+	if fleet, err := loadFleet(); err != nil {
+		p.log.Error("the fleet's file not reloaded, the old one stays", "err", err)
+	} else if p.council != nil {
+		if err := p.council.Reload(fleet); err != nil {
+			p.log.Error("the fleet's file not reloaded, the old one stays", "err", err)
+		}
+	}
 	p.conf.Journal = c.Journal
 	p.roster.Move(c.Journal)
 	p.log.Info("configuration reloaded", "journal", c.Journal)
@@ -349,5 +374,8 @@
 	if p.restFront != nil {
 		text += p.restFront.String()
 	}
+	if p.council != nil {
+		text += p.council.String() + fmt.Sprintf("counters journal calls=%d\n", p.roster.Calls.Load())
+	}
 	_, _ = io.WriteString(p.errOut, text)
 }
--- a/internal/restconf/restconf.go
+++ b/internal/restconf/restconf.go
@@ -20,12 +20,16 @@
 // is silently other than its operators think.
 var strict = jsoniter.Config{CaseSensitive: true, DisallowUnknownFields: true}.Froze()
 
+// leastPurgeMS keeps purges from filling the record's one connection.
+const leastPurgeMS = 10
+
 // Config is the second front's settings.
 type Config struct {
-	Listen      string   `json:"listen"`       // empty: off
-	Store       string   `json:"store"`        // the record: a SQLite file or a postgres:// URL
-	KeepSeconds int64    `json:"keep_seconds"` // how long an ended query can be read
-	EngineKinds []string `json:"engine_kinds"` // kinds of engines that speak this protocol
+	Listen      string   `json:"listen"`         // empty: off
+	Store       string   `json:"store"`          // the record: a SQLite file or a postgres:// URL
+	KeepSeconds int64    `json:"keep_seconds"`   // how long an ended query can be read
+	PurgeMS     int64    `json:"purge_every_ms"` // between two purges of the record; 0: a minute
+	EngineKinds []string `json:"engine_kinds"`   // kinds of engines that speak this protocol
 	Spool       Spool    `json:"spool"`
 	Schema      string   `json:"$schema"` // where an editor finds the schema; means nothing here
 }
@@ -71,6 +75,8 @@
 	}
 	s := c.Spool
 	switch {
+	case c.PurgeMS < 0 || c.PurgeMS > 0 && c.PurgeMS < leastPurgeMS:
+		return Fault{"/purge_every_ms", fmt.Sprintf("neither 0 nor at least %d", leastPurgeMS), "leave it out for a minute"}
 	case c.Listen != "" && c.Store == "":
 		return Fault{"/store", "missing while listen is set", "name a SQLite file or a postgres:// URL"}
 	case c.Listen != "" && c.KeepSeconds < 1:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,8 @@
 
 	_ "github.com/jackc/pgx/v5/stdlib" // the driver for PostgreSQL
 	_ "modernc.org/sqlite"             // the driver, in pure Go
+
+	"aniseloft/internal/ownership"
 )
 
 // State is where a query stands.
@@ -31,6 +33,7 @@
 type Query struct {
 	ID, Slug, Key, Digest string // Key: the client's idempotency key; empty: none
 	Class, Owner          string
+	Node                  string // the coordinator that serves it; empty: of a record kept by one alone
 	State                 State
 	Pages                 []byte
 	ComeBack              time.Duration // with a refusal
@@ -49,7 +52,15 @@
 const schema = `CREATE TABLE IF NOT EXISTS query (
 	id TEXT PRIMARY KEY, slug TEXT NOT NULL, owner TEXT NOT NULL, idem_key TEXT, digest TEXT NOT NULL,
 	class TEXT NOT NULL, state TEXT NOT NULL, pages TEXT NOT NULL, come_back_ms BIGINT NOT NULL,
-	expiry_ms BIGINT NOT NULL, UNIQUE (owner, idem_key))`
+	expiry_ms BIGINT NOT NULL, node TEXT NOT NULL DEFAULT '', UNIQUE (owner, idem_key))`
+
+// addNode brings a record of before coordinators shared one up to date.
+const addNode = `ALTER TABLE query ADD COLUMN node TEXT NOT NULL DEFAULT ''`
+
+// fences is what the record has seen of each job's grants. Every change of hands stays, so that staff
+// can see who did what was done.
+const fences = `CREATE TABLE IF NOT EXISTS fence (
+	job TEXT NOT NULL, fence BIGINT NOT NULL, holder TEXT NOT NULL, since_ms BIGINT NOT NULL, acts BIGINT NOT NULL, PRIMARY KEY (job, fence))`
 
 const columns = `id, slug, owner, COALESCE(idem_key, ''), digest, class, state, pages, come_back_ms, expiry_ms`
 
@@ -75,9 +86,19 @@
 	}
 	db.SetMaxOpenConns(1) // one writer; its descriptors are budgeted
 	s := &Store{db: db, rebind: rebind}
-	if _, err := db.ExecContext(ctx, schema); err != nil {
-		_ = db.Close()
-		return nil, fmt.Errorf("store: %w", err)
+	for _, statement := range []string{schema, fences} {
+		if _, err := db.ExecContext(ctx, statement); err != nil {
+			_ = db.Close()
+			return nil, fmt.Errorf("store: %w", err)
+		}
+	}
+	if rows, err := db.QueryContext(ctx, "SELECT node FROM query LIMIT 1"); err != nil {
+		if _, err := db.ExecContext(ctx, addNode); err != nil {
+			_ = db.Close()
+			return nil, fmt.Errorf("store: %w", err)
+		}
+	} else {
+		_ = rows.Close()
 	}
 	return s, nil
 }
@@ -123,9 +144,9 @@
 	if q.Key != "" {
 		key = q.Key
 	}
-	n, err := s.exec(ctx, `INSERT INTO query (id, slug, owner, idem_key, digest, class, state, pages, come_back_ms, expiry_ms)
-		VALUES ($1, $2, $3, $4, $5, $6, 'running', '', 0, $7) ON CONFLICT (owner, idem_key) DO NOTHING`,
-		q.ID, q.Slug, q.Owner, key, q.Digest, q.Class, q.Expiry.UnixMilli())
+	n, err := s.exec(ctx, `INSERT INTO query (id, slug, owner, idem_key, digest, class, state, pages, come_back_ms, expiry_ms, node)
+		VALUES ($1, $2, $3, $4, $5, $6, 'running', '', 0, $7, $8) ON CONFLICT (owner, idem_key) DO NOTHING`,
+		q.ID, q.Slug, q.Owner, key, q.Digest, q.Class, q.Expiry.UnixMilli(), q.Node)
 	if err != nil || n == 1 {
 		return nil, err
 	}
@@ -147,13 +168,92 @@
 // Get reads a query.
 func (s *Store) Get(ctx context.Context, id string) (*Query, error) { return s.one(ctx, "id = $1", id) }
 
-// Abandon ends what an earlier process left running: it may have run, and is
-// never sent again.
-func (s *Store) Abandon(ctx context.Context) (int64, error) {
-	return s.exec(ctx, `UPDATE query SET state = 'failed' WHERE state = 'running'`)
+// Abandon ends what an earlier process of this coordinator left running: it may have run, and is
+// never sent again. What other coordinators serve is theirs.
+func (s *Store) Abandon(ctx context.Context, node string) (int64, error) {
+	return s.exec(ctx, `UPDATE query SET state = 'failed' WHERE state = 'running' AND (node = $1 OR node = '')`, node)
 }
 
+const purge = `DELETE FROM query WHERE expiry_ms < $1 AND state <> 'running'`
+
 // Purge drops what has expired.
 func (s *Store) Purge(ctx context.Context, now time.Time) (int64, error) {
-	return s.exec(ctx, `DELETE FROM query WHERE expiry_ms < $1 AND state <> 'running'`, now.UnixMilli())
+	return s.exec(ctx, purge, now.UnixMilli())
+}
+
+// Fenced carries out an act of a job for the whole fleet in one transaction with the check of its
+// fence: an ownership.RefusedError says that a later grant has acted, and nothing is changed then. Where the
+// outcome of the commit is not known the act may have taken place, under this fence.
+func (s *Store) Fenced(ctx context.Context, job string, fence ownership.Fence, holder string, act func(exec func(query string, args ...any) (int64, error)) error) error {
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	defer func() { _ = tx.Rollback() }()
+	exec := func(query string, args ...any) (int64, error) {
+		res, err := tx.ExecContext(ctx, s.rebind(query), args...)
+		if err != nil {
+			return 0, fmt.Errorf("store: %w", err)
+		}
+		return res.RowsAffected()
+	}
+	// The write comes first: it takes the record's lock, so that what is read behind it can't be overtaken.
+	if _, err := exec(`INSERT INTO fence (job, fence, holder, since_ms, acts) VALUES ($1, $2, $3, $4, 1)
+		ON CONFLICT (job, fence) DO UPDATE SET acts = fence.acts + 1`, job, int64(fence), holder, time.Now().UnixMilli()); err != nil {
+		return err
+	}
+	var seen ownership.Seen
+	var highest int64
+	if err := tx.QueryRowContext(ctx, s.rebind(`SELECT fence, holder FROM fence WHERE job = $1 ORDER BY fence DESC LIMIT 1`), job).
+		Scan(&highest, &seen.Holder); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	seen.Fence = ownership.Fence(highest)
+	if _, err := seen.Admit(job, fence, holder); err != nil {
+		return err
+	}
+	if err := act(exec); err != nil {
+		return err
+	}
+	if err := tx.Commit(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+// PurgeFor drops what has expired on behalf of the whole fleet.
+func (s *Store) PurgeFor(ctx context.Context, now time.Time, fence ownership.Fence, holder string) (n int64, err error) {
+	err = s.Fenced(ctx, ownership.JobPrune, fence, holder, func(exec func(string, ...any) (int64, error)) error {
+		n, err = exec(purge, now.UnixMilli())
+		return err
+	})
+	return n, err
+}
+
+// FenceRow is one grant that has acted on the record.
+type FenceRow struct {
+	Job    string          `json:"job"`
+	Fence  ownership.Fence `json:"fence"`
+	Holder string          `json:"holder"`
+	Since  int64           `json:"since_ms"`
+	Acts   int64           `json:"acts"`
+}
+
+// Fences are all grants that have acted on the record, in their order.
+func (s *Store) Fences(ctx context.Context) (l []FenceRow, err error) {
+	rows, err := s.db.QueryContext(ctx, "SELECT job, fence, holder, since_ms, acts FROM fence ORDER BY job, fence")
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	defer func() { _ = rows.Close() }()
+	for rows.Next() {
+		var r FenceRow
+		var f int64
+		if err := rows.Scan(&r.Job, &f, &r.Holder, &r.Since, &r.Acts); err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+		r.Fence = ownership.Fence(f)
+		l = append(l, r)
+	}
+	return l, rows.Err()
 }
--- /dev/null
+++ b/internal/transport/council.go
@@ -0,0 +1,767 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"aniseloft/internal/fleetconf"
+	"aniseloft/internal/ownership"
+	"aniseloft/internal/protocol/fleet"
+)
+
+const (
+	councilDial  = 500 * time.Millisecond
+	councilRetry = 50 * time.Millisecond  // the least wait before a seat is dialled again
+	councilMost  = 800 * time.Millisecond // and the most
+	councilWrite = 2 * time.Second        // a peer that does not read is cut off
+	councilQueue = 256                    // frames that wait for one peer; more are lost, as any may be
+	councilPeers = 1024                   // connections that a seat takes
+	seenFile     = "fences.json"
+)
+
+// Published is what the owner of a job tells all members.
+type Published struct {
+	ownership.Owner
+	Seq  uint64              `json:"seq"`
+	Data jsoniter.RawMessage `json:"data"`
+}
+
+// Council is the driver of this coordinator's part in the fleet: its seat, if it has one, and its
+// membership. Every decision is the ownership package's.
+type Council struct {
+	conf         fleetconf.Config
+	name         string
+	installation uint64
+	clock        func() ownership.Millis
+	log          *slog.Logger
+	started      time.Time
+
+	mu      sync.Mutex // the member's
+	member  *ownership.Member
+	finder  *ownership.Finder
+	to      *councilConn // to the seat that the finder points at
+	toSeat  string
+	waiting bool
+	soon    chan struct{}
+	// Heard takes what an owner publishes, once its fence is kept. Nil: nobody listens.
+	Heard func(Published)
+
+	changed chan struct{}              // there is a new file
+	in      chan func(*ownership.Seat) // to the seat
+	seat    *ownership.Seat            // its own goroutine's alone; nil: there is none
+	disk    *councilDisk
+	net     net.Listener            // nil: this coordinator has no seat
+	seats   map[string]*councilConn // to other seats; the seat's goroutine's alone
+	due     map[string]time.Time    // when each may be dialled again
+	backs   map[string]time.Duration
+	asked   map[string]*councilConn // by holder: where its beats come from; nil: from this process
+	calls   map[uint64]*councilConn
+	callNo  uint64
+
+	counts struct {
+		beats, replies, agreed, published, followed, refused, strangers, lost, bytesOut, bytesIn, syncs atomic.Int64
+	}
+}
+
+// NewCouncil opens what the file asks of this coordinator. Clock is its own, which never steps
+// back; room is what it can take.
+func NewCouncil(conf fleetconf.Config, name string, clock func() ownership.Millis, log *slog.Logger) (*Council, error) {
+	c := &Council{conf: conf, name: name, installation: fleet.Installation(conf.Installation), clock: clock, log: log,
+		soon: make(chan struct{}, 1), started: time.Now(), asked: map[string]*councilConn{}, calls: map[uint64]*councilConn{},
+		seats: map[string]*councilConn{}, due: map[string]time.Time{}, backs: map[string]time.Duration{},
+		changed: make(chan struct{}, 1), in: make(chan func(*ownership.Seat), councilQueue)}
+	room := conf.Room
+	if room == 0 {
+		room = 1
+	}
+	boot := rand.Uint64() >> 1
+	c.member = ownership.NewMember(ownership.Holder{Name: name, Boot: boot}, conf.Jobs, room, conf.Timing().Drift)
+	if err := c.readSeen(); err != nil {
+		return nil, err
+	}
+	c.finder = ownership.NewFinder(conf.Names(), int(boot%uint64(len(conf.Seats))), conf.Timing().Lease)
+	if conf.Addr(name) != "" {
+		if err := c.sit(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Reload follows a new file. The installation, the directory and the jobs can't change while it runs; the
+// seats, their addresses and the generation can.
+func (c *Council) Reload(conf fleetconf.Config) error {
+	was := c.file()
+	if conf.Installation != was.Installation || conf.Directory != was.Directory || !slices.Equal(conf.Jobs, was.Jobs) {
+		return errors.New("fleet: only the seats and the generation are reloaded: other changes need a restart")
+	}
+	if conf.Generation < was.Generation {
+		return fmt.Errorf("fleet: generation %d is older than %d", conf.Generation, was.Generation)
+	}
+	if addr := conf.Addr(c.name); addr != "" && was.Addr(c.name) != "" && addr != was.Addr(c.name) {
+		return errors.New("fleet: this seat's own address can't change while it runs")
+	}
+	c.mu.Lock()
+	c.conf = conf
+	c.finder = ownership.NewFinder(conf.Names(), int(c.member.Self().Boot%uint64(len(conf.Seats))), conf.Timing().Lease)
+	c.mu.Unlock()
+	c.poke()
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// file is the file that is followed now.
+func (c *Council) file() fleetconf.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conf
+}
+
+// sit opens the seat from its disk, and its address.
+func (c *Council) sit() error {
+	conf := c.file()
+	d, saved, err := openCouncilDisk(conf.Directory, c.installation)
+	if err != nil {
+		return err
+	}
+	seat, err := ownership.NewSeat(ownership.SeatOptions{Name: c.name, Number: d.number, Names: conf.Names(), Generation: conf.Generation,
+		Jobs: conf.Jobs, Timing: conf.Timing(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Saved: saved})
+	if err != nil {
+		_ = d.close()
+		return fmt.Errorf("council: %s: %w; move it away: the seat is then taken in anew", d.path, err)
+	}
+	if c.net == nil {
+		if c.net, err = (&net.ListenConfig{Control: reusePort}).Listen(context.Background(), "tcp4", conf.Addr(c.name)); err != nil {
+			_ = d.close()
+			return fmt.Errorf("council: %w", err)
+		}
+	}
+	c.disk, c.seat = d, seat
+	return nil
+}
+
+// reseat follows a new file: this coordinator may have a seat now that it had not. One that has none any more
+// keeps it until the council does without it.
+func (c *Council) reseat(ctx context.Context) {
+	conf := c.file()
+	if c.seat != nil {
+		c.seat.Reload(conf.Names(), conf.Generation)
+		return
+	}
+	if conf.Addr(c.name) == "" {
+		return
+	}
+	listening := c.net != nil
+	if err := c.sit(); err != nil {
+		c.log.Error("council: the seat is left empty", "err", err)
+	} else if !listening {
+		go c.accept(ctx)
+	}
+}
+
+// readSeen takes the fences that an earlier run has followed.
+func (c *Council) readSeen() error {
+	path := filepath.Join(c.conf.Directory, seenFile)
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	var seen []ownership.Owner
+	if err := pagesJSON.Unmarshal(raw, &seen); err != nil {
+		return fmt.Errorf("council: %s: %w; move it away: the fences that it held are then learned anew from the council", path, err)
+	}
+	for _, o := range seen {
+		c.member.Follow(o)
+	}
+	return nil
+}
+
+// keepSeen makes the newest fences durable; the caller holds mu.
+func (c *Council) keepSeen() error {
+	var seen []ownership.Owner
+	for _, job := range c.conf.Jobs {
+		if o := c.member.Newest(job); o.Fence > 0 {
+			seen = append(seen, o)
+		}
+	}
+	raw, err := pagesJSON.Marshal(seen)
+	if err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	path := filepath.Join(c.conf.Directory, seenFile)
+	f, err := os.CreateTemp(c.conf.Directory, seenFile+"-*")
+	if err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	_, err = f.Write(raw)
+	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+		return fmt.Errorf("council: %w", err)
+	}
+	return nil
+}
+
+// Run takes part until ctx ends.
+func (c *Council) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	all.Go(func() { c.runSeat(ctx) })
+	all.Go(func() { c.runMember(ctx) })
+	all.Wait()
+}
+
+// Begin, End and Refused are the member's, for those who do a job's acts.
+func (c *Council) Begin(job string) (fence ownership.Fence, holder string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fence, ok = c.member.Begin(c.clock(), job)
+	c.events()
+	return fence, c.member.Self().String(), ok
+}
+
+// End ends an act that Begin let begin.
+func (c *Council) End(job string, fence ownership.Fence) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.member.End(c.clock(), job, fence)
+	c.events()
+}
+
+// Refused takes a target's word that it has seen a higher fence.
+func (c *Council) Refused(job string, by ownership.RefusedError) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.refused.Add(1)
+	c.log.Warn("fleet act refused by its fence", "job", job, "fence", by.Fence, "seen", by.Highest)
+	c.member.Refused(job, by)
+	c.events()
+	c.poke()
+}
+
+// Owns tells whether this coordinator owns the job, and Has whether the fleet does it at all.
+func (c *Council) Owns(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, own := c.member.Owns(c.clock(), job)
+	c.events()
+	return own
+}
+
+// Has tells whether the job is the fleet's.
+func (c *Council) Has(job string) bool { return c != nil && slices.Contains(c.conf.Jobs, job) }
+
+// Leave gives everything back; Idle tells whether that is done.
+func (c *Council) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.member.Leave(c.clock())
+	c.events()
+	c.poke()
+}
+
+// Idle tells whether nothing is owned or still to be given back.
+func (c *Council) Idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.member.Idle()
+}
+
+func (c *Council) poke() {
+	c.finder.Soon(c.clock())
+	select {
+	case c.soon <- struct{}{}:
+	default:
+	}
+}
+
+// events logs what the member has to say; the caller holds mu.
+func (c *Council) events() {
+	for _, e := range c.member.Events {
+		c.log.Info("fleet job "+e.What, "job", e.Job, "fence", e.Fence, "holder", e.Who, "why", e.Why)
+		if e.What == "lost" {
+			c.poke()
+		}
+	}
+	c.member.Events = nil
+}
+
+// tick is how often the machines are given the time: twice in a step of theirs.
+func (c *Council) tick() time.Duration {
+	return time.Duration(c.conf.Timing().Tick / 2 * float64(time.Millisecond))
+}
+
+// runMember asks the leader again and again, for as long as ctx lasts.
+func (c *Council) runMember(ctx context.Context) {
+	tick := time.NewTicker(c.tick())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-c.soon:
+		}
+		c.mu.Lock()
+		now := c.clock()
+		seat, due := c.finder.Due(now)
+		var beat ownership.Beat
+		if due {
+			beat = c.member.Beat(now)
+		}
+		c.events()
+		c.mu.Unlock()
+		if !due {
+			continue
+		}
+		c.counts.beats.Add(1)
+		if seat == c.name {
+			c.feed(func(s *ownership.Seat) {
+				c.asked[beat.Holder.String()] = nil
+				s.Take(c.clock(), beat)
+			})
+			continue
+		}
+		if to := c.way(ctx, seat); to != nil {
+			to.send(fleet.AppendJSON(nil, c.installation, fleet.Beat, beat))
+		}
+	}
+}
+
+// way is the connection to the seat that is asked; nil: there is none yet.
+func (c *Council) way(ctx context.Context, seat string) *councilConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.to != nil && c.toSeat == seat && !c.to.closed() {
+		return c.to
+	}
+	if c.waiting {
+		return nil
+	}
+	if c.to != nil {
+		c.to.close()
+		c.to = nil
+	}
+	c.waiting = true
+	addr := c.conf.Addr(seat)
+	go func() {
+		conn, err := (&net.Dialer{Timeout: councilDial}).DialContext(ctx, "tcp4", addr)
+		c.mu.Lock()
+		c.waiting = false
+		if err == nil {
+			c.to, c.toSeat = c.serve(ctx, conn, c.fromLeader), seat
+			c.finder.Soon(c.clock())
+		}
+		c.mu.Unlock()
+	}()
+	return nil
+}
+
+// fromLeader takes what comes on the member's connection.
+func (c *Council) fromLeader(_ *councilConn, f fleet.Frame) error {
+	switch f.Kind {
+	case fleet.Reply:
+		var r ownership.Reply
+		if err := f.Decode(&r); err != nil {
+			return err
+		}
+		c.take(r)
+	case fleet.Publish:
+		return c.heard(f.Payload)
+	}
+	return nil
+}
+
+func (c *Council) take(r ownership.Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Holder != c.member.Self() {
+		return
+	}
+	c.counts.replies.Add(1)
+	now := c.clock()
+	was := c.finder.At()
+	c.finder.Answered(now, r)
+	if r.Error != "" {
+		c.log.Warn("fleet: the leader refuses this coordinator", "says", r.Error)
+	}
+	c.member.Take(now, r)
+	c.events()
+	if c.finder.At() != was {
+		c.poke()
+	}
+}
+
+// heard takes what an owner publishes: never from an older owner than was seen, across restarts too.
+func (c *Council) heard(raw []byte) error {
+	var p Published
+	if err := pagesJSON.Unmarshal(raw, &p); err != nil {
+		return fmt.Errorf("%w: %w", fleet.ErrMalformed, err)
+	}
+	if !c.Has(p.Job) {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.member.Newest(p.Job)
+	if !c.member.Follow(p.Owner) {
+		c.counts.refused.Add(1)
+		c.log.Warn("fleet: an older owner is not followed", "job", p.Job, "owner", p.Name, "fence", p.Fence, "seen", was.Fence)
+		return nil
+	}
+	if p.Fence > was.Fence || p.Name != was.Name {
+		if err := c.keepSeen(); err != nil {
+			c.log.Error("fleet: not followed: its fence can't be kept", "err", err)
+			return nil
+		}
+	}
+	c.counts.followed.Add(1)
+	if c.Heard != nil {
+		c.Heard(p)
+	}
+	return nil
+}
+
+// Publish tells all members something under the grant of a job. Where it gets lost, the next says it anew.
+func (c *Council) Publish(job string, fence ownership.Fence, seq uint64, data []byte) {
+	p := Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: job, Fence: fence}, Name: c.name}, Seq: seq, Data: data}
+	raw, err := pagesJSON.Marshal(p)
+	if err != nil {
+		return
+	}
+	c.counts.published.Add(1)
+	c.mu.Lock()
+	seat, to := c.finder.At(), c.to
+	c.mu.Unlock()
+	if seat == c.name {
+		c.feed(func(*ownership.Seat) { c.spread(raw) })
+	} else if to != nil {
+		to.send(fleet.Append(nil, c.installation, fleet.Frame{Kind: fleet.Publish, Payload: raw}))
+	}
+}
+
+// spread passes on what an owner publishes to all members that ask this seat.
+func (c *Council) spread(raw []byte) {
+	frame := fleet.Append(nil, c.installation, fleet.Frame{Kind: fleet.Publish, Payload: raw})
+	for _, to := range c.asked {
+		if to == nil {
+			_ = c.heard(raw)
+		} else {
+			to.send(frame)
+		}
+	}
+}
+
+// feed has the seat take something; what finds no room is lost, as any message may be.
+func (c *Council) feed(f func(*ownership.Seat)) {
+	select {
+	case c.in <- f:
+	default:
+		c.counts.lost.Add(1)
+	}
+}
+
+// runSeat is the seat's own goroutine: one thing after another, each made durable before its
+// consequences leave.
+func (c *Council) runSeat(ctx context.Context) {
+	if c.net != nil {
+		go c.accept(ctx)
+	}
+	tick := time.NewTicker(c.tick())
+	defer tick.Stop()
+	defer func() {
+		if c.disk != nil {
+			_ = c.disk.close()
+		}
+		for _, to := range c.seats {
+			to.close()
+		}
+	}()
+	for {
+		var f func(*ownership.Seat)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f = func(s *ownership.Seat) { s.Tick(c.clock()) }
+		case <-c.changed:
+			c.reseat(ctx)
+			continue
+		case f = <-c.in:
+		}
+		if c.seat == nil {
+			continue
+		}
+		f(c.seat)
+		c.carryOut(ctx, c.seat.Out())
+	}
+}
+
+// carryOut does what the seat wants done.
+func (c *Council) carryOut(ctx context.Context, o ownership.Out) {
+	for _, e := range o.Events {
+		c.log.Info("council: "+e.What, "job", e.Job, "fence", e.Fence, "who", e.Who, "why", e.Why)
+	}
+	if o.Save != nil {
+		c.counts.syncs.Add(1)
+		if err := c.disk.save(o.Save, o.Compact); err != nil {
+			c.log.Error("council: its disk fails: the seat is left empty until a restart, the coordinator serves on", "err", err)
+			c.end()
+			return
+		}
+	}
+	if o.Lost {
+		c.log.Error("council: the seat's disk holds less than it has acknowledged; it is emptied and the seat taken in anew", "path", c.disk.path)
+		if err := errors.Join(c.disk.drop(), c.sit()); err != nil {
+			c.log.Error("council: the seat is left empty", "err", err)
+			c.seat, c.disk = nil, nil
+		}
+		return
+	}
+	if o.Broken != "" {
+		c.log.Error("council: the seat is left empty until a restart, the coordinator serves on", "why", o.Broken)
+		c.end()
+		return
+	}
+	for _, e := range o.Send {
+		raw := ownership.EncodeMessage(e.Message)
+		c.toOther(ctx, e.To, fleet.Append(nil, c.installation, fleet.Frame{Kind: fleet.Agree, Council: e.Council, Payload: raw}))
+	}
+	if o.Hellos {
+		maps.DeleteFunc(c.asked, func(_ string, to *councilConn) bool { return to != nil && to.closed() })
+		maps.DeleteFunc(c.calls, func(_ uint64, to *councilConn) bool { return to.closed() })
+		frame := fleet.AppendJSON(nil, c.installation, fleet.Hello, c.seat.Hello())
+		for _, s := range c.file().Seats {
+			if s.Name != c.name {
+				c.toOther(ctx, s.Name, frame)
+			}
+		}
+	}
+	for _, r := range o.Replies {
+		if to, known := c.asked[r.Holder.String()]; known && to != nil {
+			to.send(fleet.AppendJSON(nil, c.installation, fleet.Reply, r))
+		} else {
+			c.take(r)
+		}
+	}
+	for _, a := range o.Answers {
+		if to := c.calls[a.Seq]; to != nil {
+			to.send(fleet.AppendJSON(nil, c.installation, fleet.Answer, a))
+			delete(c.calls, a.Seq)
+		}
+	}
+}
+
+func (c *Council) end() {
+	_ = c.disk.close()
+	c.seat, c.disk = nil, nil
+}
+
+// toOther sends a frame to another seat, over a connection that is dialled where there is none.
+func (c *Council) toOther(ctx context.Context, name string, frame []byte) {
+	to := c.seats[name]
+	if to != nil && !to.closed() {
+		c.backs[name] = 0
+		to.send(frame)
+		return
+	}
+	now := time.Now()
+	if now.Before(c.due[name]) {
+		return
+	}
+	back := min(max(2*c.backs[name], councilRetry), councilMost)
+	c.backs[name], c.due[name] = back, now.Add(councilDial+back/2+rand.N(back))
+	addr := c.file().Addr(name)
+	go func() {
+		conn, err := (&net.Dialer{Timeout: councilDial}).DialContext(ctx, "tcp4", addr)
+		c.feed(func(*ownership.Seat) {
+			if err != nil {
+				c.due[name] = time.Now().Add(back/2 + rand.N(back))
+				return
+			}
+			c.seats[name] = c.serve(ctx, conn, c.fromPeer)
+			c.seats[name].send(frame)
+		})
+	}()
+}
+
+// accept takes connections of other seats, of members and of operators.
+func (c *Council) accept(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	defer stop()
+	gate := make(chan struct{}, councilPeers)
+	for {
+		conn, err := c.net.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(councilRetry)
+			continue
+		}
+		select {
+		case gate <- struct{}{}:
+			cc := c.serve(ctx, conn, c.fromPeer)
+			go func() { <-cc.gone; <-gate }()
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+// fromPeer takes what comes to this seat.
+func (c *Council) fromPeer(from *councilConn, f fleet.Frame) error {
+	switch f.Kind {
+	case fleet.Hello:
+		var h ownership.Hello
+		if err := f.Decode(&h); err != nil {
+			return err
+		}
+		c.feed(func(s *ownership.Seat) { s.Hear(c.clock(), h) })
+	case fleet.Agree:
+		m, err := ownership.DecodeMessage(f.Payload)
+		if err != nil {
+			return err
+		}
+		c.counts.agreed.Add(1)
+		c.feed(func(s *ownership.Seat) { s.Step(c.clock(), f.Council, m) })
+	case fleet.Beat:
+		var b ownership.Beat
+		if err := f.Decode(&b); err != nil {
+			return err
+		}
+		c.feed(func(s *ownership.Seat) {
+			c.asked[b.Holder.String()] = from
+			s.Take(c.clock(), b)
+		})
+	case fleet.Call:
+		var call ownership.Call
+		if err := f.Decode(&call); err != nil {
+			return err
+		}
+		c.feed(func(s *ownership.Seat) {
+			c.callNo++
+			call.Seq = c.callNo
+			c.calls[call.Seq] = from
+			s.Ask(c.clock(), call)
+		})
+	case fleet.Publish:
+		raw := slices.Clone(f.Payload)
+		c.feed(func(*ownership.Seat) { c.spread(raw) })
+	}
+	return nil
+}
+
+// councilConn is one connection with frames that wait to be written.
+type councilConn struct {
+	net.Conn
+	out  chan []byte
+	gone chan struct{}
+	once sync.Once
+	of   *Council
+}
+
+func (cc *councilConn) close() {
+	cc.once.Do(func() { close(cc.gone); _ = cc.Conn.Close() })
+}
+
+func (cc *councilConn) closed() bool {
+	select {
+	case <-cc.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+// send queues a frame; where the peer does not read it is lost.
+func (cc *councilConn) send(frame []byte) {
+	select {
+	case cc.out <- frame:
+	default:
+		cc.of.counts.lost.Add(1)
+	}
+}
+
+// serve reads and writes one connection on goroutines of its own.
+func (c *Council) serve(ctx context.Context, conn net.Conn, take func(*councilConn, fleet.Frame) error) *councilConn {
+	cc := &councilConn{Conn: conn, out: make(chan []byte, councilQueue), gone: make(chan struct{}), of: c}
+	stop := context.AfterFunc(ctx, cc.close)
+	go func() {
+		defer cc.close()
+		for {
+			select {
+			case <-cc.gone:
+				return
+			case frame := <-cc.out:
+				_ = conn.SetWriteDeadline(time.Now().Add(councilWrite))
+				if _, err := conn.Write(frame); err != nil {
+					return
+				}
+				c.counts.bytesOut.Add(int64(len(frame)))
+			}
+		}
+	}()
+	go func() {
+		defer stop()
+		defer cc.close()
+		m, buf := fleet.NewMachine(c.installation), make([]byte, 16<<10)
+		for {
+			n, err := conn.Read(buf)
+			c.counts.bytesIn.Add(int64(n))
+			frames, ferr := m.Feed(buf[:n])
+			for _, f := range frames {
+				if ferr == nil {
+					ferr = take(cc, f)
+				}
+			}
+			if ferr != nil {
+				if c.counts.strangers.Add(1) == 1 || !errors.Is(ferr, fleet.ErrStranger) {
+					c.log.Warn("fleet: a connection is closed", "from", conn.RemoteAddr().String(), "why", ferr)
+				}
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return cc
+}
+
+// String is the line of counters.
+func (c *Council) String() string {
+	n := &c.counts
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var owned []string
+	for _, job := range c.conf.Jobs {
+		if f, own := c.member.Owns(c.clock(), job); own {
+			owned = append(owned, fmt.Sprintf("%s:%d", job, f))
+		}
+	}
+	return fmt.Sprintf("counters fleet beats=%d replies=%d agreed=%d published=%d followed=%d refused=%d strangers=%d lost=%d sent_bytes=%d read_bytes=%d syncs=%d owns=%s\n",
+		n.beats.Load(), n.replies.Load(), n.agreed.Load(), n.published.Load(), n.followed.Load(), n.refused.Load(), n.strangers.Load(), n.lost.Load(),
+		n.bytesOut.Load(), n.bytesIn.Load(), n.syncs.Load(), strings.Join(owned, ","))
+}
--- /dev/null
+++ b/internal/transport/council_test.go
@@ -0,0 +1,161 @@
+package transport
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/fleetconf"
+	"aniseloft/internal/ownership"
+	"aniseloft/internal/protocol/fleet"
+)
+
+// logged keeps what is logged, for tests that look for a line.
+type logged struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func monotone() func() ownership.Millis {
+	start := time.Now()
+	return func() ownership.Millis { return float64(time.Since(start)) / float64(time.Millisecond) }
+}
+
+// alone is a council of one on loopback, and its file.
+func alone(t *testing.T) (*Council, fleetconf.Config, *logged) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	conf := fleetconf.Config{Installation: "here", Generation: 1, Directory: t.TempDir(), Jobs: []string{ownership.JobPrune, ownership.JobJournal},
+		Seats: []fleetconf.Seat{{Name: "n0", Addr: addr}}}
+	out := &logged{}
+	c, err := NewCouncil(conf, "n0", monotone(), slog.New(slog.NewTextHandler(out, nil)))
+	require.NoError(t, err)
+	go c.Run(t.Context())
+	require.Eventually(t, func() bool { return c.Owns(ownership.JobPrune) }, 10*time.Second, 10*time.Millisecond)
+	return c, conf, out
+}
+
+// What is not of this installation, of this version or whole is counted and its connection closed; nothing is granted by it.
+func TestCouncilBearsStrangers(t *testing.T) {
+	c, conf, out := alone(t)
+	before, err := CallCouncil(conf, "", ownership.Call{Op: ownership.OpHistory}, 5*time.Second)
+	require.NoError(t, err)
+	beat := ownership.Beat{Holder: ownership.Holder{Name: "thief", Boot: 1}, Stamp: 1, Room: 1e9, Jobs: conf.Jobs, Refused: []ownership.Ref{{Job: "no-such-job", Fence: 99}}}
+	whole := fleet.AppendJSON(nil, fleet.Installation("here"), fleet.Beat, beat)
+	version := append([]byte(nil), whole...)
+	version[3]++
+	for name, raw := range map[string][]byte{
+		"http":                 []byte("GET /journal?tail=0&max_wait=1 HTTP/1.1\r\nHost: a\r\n\r\n"),
+		"another installation": fleet.AppendJSON(nil, fleet.Installation("there"), fleet.Beat, beat),
+		"another version":      version,
+		"malformed":            fleet.Append(nil, fleet.Installation("here"), fleet.Frame{Kind: fleet.Beat, Payload: []byte("{")}),
+		"malformed agreement":  fleet.Append(nil, fleet.Installation("here"), fleet.Frame{Kind: fleet.Agree, Payload: []byte{0xff}}),
+		"cut short":            whole[:len(whole)-3],
+	} {
+		conn, err := net.Dial("tcp4", conf.Seats[0].Addr)
+		require.NoError(t, err)
+		_, err = conn.Write(raw)
+		require.NoError(t, err)
+		if name == "cut short" {
+			require.NoError(t, conn.Close())
+			continue
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		n, err := conn.Read(make([]byte, 64))
+		require.Zero(t, n, name)
+		require.Error(t, err, name)
+		require.False(t, isTimeout(err), "%s: the connection stays open", name)
+		_ = conn.Close()
+	}
+	// A message of yesterday's council, whole and of this installation, changes nothing either.
+	conn, err := net.Dial("tcp4", conf.Seats[0].Addr)
+	require.NoError(t, err)
+	_, err = conn.Write(fleet.AppendJSON(nil, fleet.Installation("here"), fleet.Publish, Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: ownership.JobJournal}, Name: "thief"}}))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return strings.Contains(out.String(), "an older owner is not followed") }, 10*time.Second, 10*time.Millisecond)
+	_ = conn.Close()
+	after, err := CallCouncil(conf, "", ownership.Call{Op: ownership.OpHistory}, 5*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, before.History, after.History)
+	require.True(t, c.Owns(ownership.JobPrune))
+	require.GreaterOrEqual(t, c.counts.strangers.Load(), int64(5))
+}
+
+// What was followed stays followed across a restart: an older owner is refused even where the council is not heard.
+func TestFollowedFencesOutliveARestart(t *testing.T) {
+	dir := t.TempDir()
+	conf := fleetconf.Config{Installation: "here", Generation: 1, Directory: dir, Jobs: []string{ownership.JobJournal},
+		Seats: []fleetconf.Seat{{Name: "far", Addr: "127.0.0.1:1"}}}
+	say := func(c *Council, fence ownership.Fence, name string) int {
+		heard := 0
+		c.Heard = func(Published) { heard++ }
+		raw, err := pagesJSON.Marshal(Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: ownership.JobJournal, Fence: fence}, Name: name}})
+		require.NoError(t, err)
+		require.NoError(t, c.heard(raw))
+		return heard
+	}
+	log := slog.New(slog.DiscardHandler)
+	c, err := NewCouncil(conf, "n7", monotone(), log)
+	require.NoError(t, err)
+	require.Equal(t, 1, say(c, 4, "n1"))
+	require.Equal(t, 0, say(c, 3, "n2"), "an older grant")
+	require.Equal(t, 0, say(c, 4, "n2"), "the same grant under another name")
+	c, err = NewCouncil(conf, "n7", monotone(), log)
+	require.NoError(t, err)
+	require.Equal(t, 0, say(c, 3, "n2"), "an older grant, after a restart")
+	require.Equal(t, 1, say(c, 4, "n1"))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, seenFile), []byte("{"), 0o600))
+	_, err = NewCouncil(conf, "n7", monotone(), log)
+	require.ErrorContains(t, err, "move it away")
+}
+
+// Operators' calls: a job moves to whom they want, what can't be done says why.
+func TestCouncilAnswersOperators(t *testing.T) {
+	_, conf, _ := alone(t)
+	for _, c := range []struct {
+		call ownership.Call
+		says string
+	}{
+		{ownership.Call{Op: "dance"}, "is no call"},
+		{ownership.Call{Op: ownership.OpMove, Job: "no-such-job"}, "is no job"},
+		{ownership.Call{Op: ownership.OpMove, Job: ownership.JobPrune, Name: "n9"}, "nothing is heard of"},
+		{ownership.Call{Op: ownership.OpStepDown}, "no other seat"},
+	} {
+		a, err := CallCouncil(conf, "", c.call, 5*time.Second)
+		require.NoError(t, err)
+		require.Contains(t, a.Error, c.says)
+	}
+	a, err := CallCouncil(conf, "n0", ownership.Call{Op: ownership.OpMove, Job: ownership.JobPrune, Name: "n0"}, 5*time.Second)
+	require.NoError(t, err)
+	require.Empty(t, a.Error)
+	require.Equal(t, "n0", a.Status.Jobs[0].Wanted)
+	_, err = CallCouncil(conf, "n5", ownership.Call{Op: ownership.OpStatus}, time.Second)
+	require.ErrorContains(t, err, "is no seat")
+	conf.Seats[0].Addr = "127.0.0.1:1"
+	_, err = CallCouncil(conf, "", ownership.Call{Op: ownership.OpStatus}, time.Second)
+	require.ErrorIs(t, err, ErrNoSeat)
+	require.ErrorContains(t, err, fmt.Sprintf("seat n0 at %s", conf.Seats[0].Addr))
+}
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -15,6 +16,7 @@
 
 	"aniseloft/decide"
 	"aniseloft/internal/oncall"
+	"aniseloft/internal/ownership"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/routing"
@@ -48,6 +50,9 @@
 	Leaving func() bool
 	In      *Budget       // what unfinished requests of all clients hold
 	Keep    time.Duration // how long an ended query can be read and its key is held
+	Node    string        // this coordinator, in a record that several share
+	Every   time.Duration // between two purges; 0: the usual
+	Fleet   *Council      // nil, or it has not this job: each coordinator purges
 	Log     *slog.Logger
 
 	mu   sync.Mutex
@@ -97,7 +102,7 @@
 // Start ends what an earlier process left unfinished, and purges until ctx ends.
 func (f *RestClients) Start(ctx context.Context) error {
 	f.live = map[string]*restQuery{}
-	n, err := f.Store.Abandon(ctx)
+	n, err := f.Store.Abandon(ctx, f.Node)
 	if err != nil {
 		return err
 	}
@@ -105,8 +110,8 @@
 		f.Log.Warn("queries of an earlier process ended as failed", "number", n)
 	}
 	go func() {
-		for t := time.NewTicker(purgeEach); ; {
-			if _, err := f.Store.Purge(ctx, time.Now()); err != nil && ctx.Err() == nil {
+		for t := time.NewTicker(cmp.Or(f.Every, purgeEach)); ; {
+			if err := f.purge(ctx); err != nil && ctx.Err() == nil {
 				f.Log.Warn("purge", "err", err)
 			}
 			if f.Spool != nil {
@@ -125,6 +130,30 @@
 	return nil
 }
 
+// purge drops what has expired: by itself, or for all where this coordinator owns that.
+func (f *RestClients) purge(ctx context.Context) error {
+	if !f.Fleet.Has(ownership.JobPrune) {
+		_, err := f.Store.Purge(ctx, time.Now())
+		return err
+	}
+	fence, holder, may := f.Fleet.Begin(ownership.JobPrune)
+	if !may {
+		return nil
+	}
+	defer f.Fleet.End(ownership.JobPrune, fence)
+	called := time.Now()
+	sctx, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	n, err := f.Store.PurgeFor(sctx, called, fence, holder)
+	var refused ownership.RefusedError
+	if errors.As(err, &refused) {
+		f.Fleet.Refused(ownership.JobPrune, refused)
+	}
+	f.Log.Info("fleet act", "job", ownership.JobPrune, "fence", fence, "holder", holder, "called_us", called.UnixMicro(),
+		"returned_us", time.Now().UnixMicro(), "admitted", err == nil, "unknown", err != nil && refused.Job == "", "dropped", n)
+	return err
+}
+
 // Serve speaks with one client until it leaves or ctx ends.
 func (f *RestClients) Serve(ctx context.Context, g *Guest) {
 	l := newLink(g, shortBuffer)
@@ -234,7 +263,7 @@
 	deadline := at.Add(time.Duration(timeout * float64(time.Millisecond)))
 	digest := sha256.Sum256(append([]byte(m.Class+"\x00"), m.Body...))
 	row := store.Query{ID: token(), Slug: token(), Key: m.Key, Digest: hex.EncodeToString(digest[:]), Class: m.Class,
-		Owner: m.User, Expiry: deadline.Add(f.Keep)}
+		Owner: m.User, Node: f.Node, Expiry: deadline.Add(f.Keep)}
 	q := &restQuery{front: f, id: row.ID, safe: class.Repeat == decide.RepeatSafe, ended: make(chan struct{})}
 	f.mu.Lock()
 	f.live[q.id] = q // before the row, so that who finds the row finds this
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,9 @@
 	tail int64
 	core *routing.Core
 	log  *slog.Logger
+	// Shared is the list that one coordinator reads for all; nil: each reads for itself.
+	Shared *SharedList
+	Calls  atomic.Int64 // to the journal service
 }
 
 // NewRoster returns a follower of the journal service at addr.
@@ -54,14 +58,16 @@
 
 // Known takes the events of the start: together they are one list, possibly old.
 func (r *Roster) Known(b journal.Batch) {
-	_, members := r.fold(b.Entries)
+	_, servers := r.fold(b.Entries)
 	r.tail = max(r.tail, b.Pos)
+	r.Shared.Read(true, servers)
+	members := r.members(servers)
 	r.core.List(decide.ListCached, slices.DeleteFunc(members, func(m routing.Member) bool { return m.State == decide.EngineGone }))
 }
 
 // fold takes events in their order, each once, as one change: of an engine that several
 // name the last word counts, so a replay never brings one back that is gone.
-func (r *Roster) fold(entries []journal.Entry) (full bool, members []routing.Member) {
+func (r *Roster) fold(entries []journal.Entry) (full bool, servers []journal.Server) {
 	last := map[string]journal.Server{}
 	var order []string
 	for _, e := range entries {
@@ -85,11 +91,9 @@
 		}
 	}
 	for _, id := range order {
-		if m, ok := r.member(last[id]); ok {
-			members = append(members, m)
-		}
+		servers = append(servers, last[id])
 	}
-	return full, members
+	return full, servers
 }
 
 // Move goes on at another address at once. The old service tells nothing more, so
@@ -116,8 +120,19 @@
 func (r *Roster) Run(ctx context.Context) {
 	wait := journalRetry
 	for ctx.Err() == nil {
+		if r.Shared.Fed() { // another reads for all; its silence shows within one of these rests
+			select {
+			case <-ctx.Done():
+			case <-time.After(journalRetry):
+			}
+			continue
+		}
 		addr, here, cut := r.here(ctx)
 		heard, err := r.connection(here, addr)
+		if errors.Is(err, errFed) {
+			cut()
+			continue
+		}
 		if here.Err() == nil {
 			r.log.Info("journal connection lost", "err", err)
 			if heard {
@@ -136,6 +151,9 @@
 	}
 }
 
+// errFed ends this coordinator's own reading: another reads for all.
+var errFed = errors.New("another coordinator reads for all")
+
 // connection polls on one connection until it fails or ctx ends.
 func (r *Roster) connection(ctx context.Context, addr string) (heard bool, err error) {
 	d := net.Dialer{Timeout: reconnectIn * 2}
@@ -147,6 +165,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer func() { stop(); _ = c.Close() }()
 	for poll := journal.NewPoll(); ; heard = true {
+		if r.Shared.Fed() {
+			return true, errFed
+		}
+		r.Calls.Add(1)
 		if err := l.write(ctx, journal.Ask(addr, r.tail, journalWait), time.Now().Add(journalSlack)); err != nil {
 			return heard, err
 		}
@@ -154,7 +176,7 @@
 		var batch *journal.Batch
 		keep := false
 		for batch == nil {
-			b, err := l.read(ctx, deadline)
+			b, err := r.await(ctx, l, deadline)
 			if err != nil {
 				return heard, err
 			}
@@ -176,9 +198,50 @@
 	}
 }
 
+// await reads what comes of a poll. While it is out and not overdue, all who rely on this coordinator's
+// reading are told so.
+func (r *Roster) await(ctx context.Context, l *link, deadline time.Time) ([]byte, error) {
+	if r.Shared == nil {
+		return l.read(ctx, deadline)
+	}
+	for {
+		r.Shared.Still()
+		look := time.Now().Add(sharedEvery)
+		b, err := l.read(ctx, minTime(look, deadline))
+		if err == nil || !isTimeout(err) || ctx.Err() != nil || !time.Now().Before(deadline) {
+			return b, err
+		}
+	}
+}
+
+// give takes what another coordinator has read.
+func (r *Roster) give(whole bool, servers []journal.Server) {
+	kind, members := decide.ListDelta, r.members(servers)
+	if whole {
+		kind = decide.ListFull
+	}
+	if len(members) > 0 {
+		r.core.List(kind, members)
+	}
+}
+
+// Share lets one coordinator read for all; it must be called before Run.
+func (r *Roster) Share(l *SharedList) { r.Shared, l.give = l, r.give }
+
+func (r *Roster) members(servers []journal.Server) (members []routing.Member) {
+	for _, s := range servers {
+		if m, ok := r.member(s); ok {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // take hands on what a batch brings.
 func (r *Roster) take(b journal.Batch) {
-	full, members := r.fold(b.Entries)
+	full, servers := r.fold(b.Entries)
+	r.Shared.Read(full, servers)
+	members := r.members(servers)
 	if full {
 		r.core.List(decide.ListFull, members)
 	} else if len(members) > 0 {
--- /dev/null
+++ b/internal/transport/sharedlist.go
@@ -0,0 +1,168 @@
+package transport
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"aniseloft/internal/ownership"
+	"aniseloft/internal/protocol/journal"
+)
+
+const (
+	// sharedEvery is how often the reader of the list tells that it still follows the journal service.
+	sharedEvery = 200 * time.Millisecond
+	// sharedSilence is how long others rely on its last word: three words lost, then each reads for itself.
+	sharedSilence = 3 * sharedEvery
+	// sharedWhole is how often the whole list goes along, for who missed a change or has just come.
+	sharedWhole = time.Second
+	// sharedOwn is how long what a coordinator has read itself stands against a published list that calls
+	// an engine fitter: that list may have been on its way.
+	sharedOwn = 2 * time.Second
+)
+
+// sharedNews is what the reader publishes: changes, or the whole list.
+type sharedNews struct {
+	Whole   bool             `json:"whole,omitempty"`
+	Servers []journal.Server `json:"servers,omitempty"`
+}
+
+// SharedList is the list of engines as one coordinator reads it for all.
+type SharedList struct {
+	council *Council
+	log     *slog.Logger
+	mu      sync.Mutex
+	view    map[string]journal.Server // by id, as this coordinator has it
+	readAt  map[string]time.Time      // when it read a line itself
+	seq     uint64                    // of the last word published or followed
+	fence   ownership.Fence
+	heardAt time.Time
+	gap     bool // a word was missed: what it told is not known
+	wholeAt time.Time
+	wake    chan struct{}
+	give    func(whole bool, servers []journal.Server)
+}
+
+// NewSharedList returns a list that council's members share.
+func NewSharedList(council *Council, log *slog.Logger) *SharedList {
+	l := &SharedList{council: council, log: log, view: map[string]journal.Server{}, readAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	council.Heard = l.heard
+	return l
+}
+
+// Fed tells whether another coordinator reads for this one, by its word of just now.
+func (l *SharedList) Fed() bool {
+	if l == nil || l.council.Owns(ownership.JobJournal) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.gap && time.Since(l.heardAt) < sharedSilence
+}
+
+// Read takes what this coordinator has read itself, and publishes it where it reads for all.
+func (l *SharedList) Read(whole bool, servers []journal.Server) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	now := time.Now()
+	if whole {
+		clear(l.view)
+	}
+	for _, s := range servers {
+		l.view[s.ID], l.readAt[s.ID] = s, now
+	}
+	l.mu.Unlock()
+	if len(servers) > 0 {
+		l.publish(sharedNews{Whole: whole, Servers: servers})
+	}
+}
+
+// Still tells all, where this coordinator reads for them, that it follows the journal service yet.
+func (l *SharedList) Still() {
+	if l != nil {
+		l.publish(sharedNews{})
+	}
+}
+
+func (l *SharedList) publish(n sharedNews) {
+	fence, _, may := l.council.Begin(ownership.JobJournal)
+	if !may {
+		return
+	}
+	defer l.council.End(ownership.JobJournal, fence)
+	l.mu.Lock()
+	now := time.Now()
+	if fence != l.fence || now.Sub(l.wholeAt) >= sharedWhole {
+		n.Whole, n.Servers, l.wholeAt = true, nil, now
+		for _, s := range l.view {
+			if s.State != "left" {
+				n.Servers = append(n.Servers, s)
+			}
+		}
+	}
+	if fence != l.fence {
+		l.fence, l.seq = fence, 0
+	}
+	l.seq++
+	seq := l.seq
+	l.mu.Unlock()
+	if raw, err := pagesJSON.Marshal(n); err == nil {
+		l.council.Publish(ownership.JobJournal, fence, seq, raw)
+	}
+}
+
+// heard follows what the reader publishes; its fence has been kept by then.
+func (l *SharedList) heard(p Published) {
+	if p.Job != ownership.JobJournal || p.Name == l.council.name {
+		return
+	}
+	var n sharedNews
+	if err := pagesJSON.Unmarshal(p.Data, &n); err != nil {
+		l.log.Warn("published list unreadable", "from", p.Name, "err", err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.Fence == l.fence && p.Seq <= l.seq { // repeated, or overtaken
+		return
+	}
+	l.gap = (l.gap || p.Fence != l.fence || p.Seq != l.seq+1) && !n.Whole
+	l.fence, l.seq = p.Fence, p.Seq
+	if !l.gap {
+		l.heardAt = time.Now()
+	}
+	if changed := l.merge(n); len(changed) > 0 && l.give != nil {
+		l.give(false, changed)
+	}
+}
+
+// merge takes news into the view and returns what they change. What a whole list leaves out is gone.
+func (l *SharedList) merge(n sharedNews) (changed []journal.Server) {
+	named := map[string]bool{}
+	for _, s := range n.Servers {
+		named[s.ID] = true
+		was, known := l.view[s.ID]
+		fresh := time.Since(l.readAt[s.ID]) < sharedOwn
+		if known && was == s || known && fresh && s.Started <= was.Started && fitness(s.State) > fitness(was.State) {
+			continue
+		}
+		l.view[s.ID] = s
+		changed = append(changed, s)
+	}
+	if n.Whole {
+		for id, s := range l.view {
+			if !named[id] && s.State != "left" && time.Since(l.readAt[id]) >= sharedOwn {
+				s.State = "left"
+				l.view[id] = s
+				changed = append(changed, s)
+			}
+		}
+	}
+	return changed
+}
+
+func fitness(state string) int {
+	return map[string]int{"left": 0, "leaving": 1, "active": 2}[state]
+}
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -5,7 +5,7 @@
 
 // Scenario describes a day to rehearse; Plan an experiment; Rest the paged REST front
 // and its spool, deploy/rest.json; Log what the coordinator logs, deploy/log.json; Drill what
-// goes wrong among many coordinators.
+// goes wrong among many coordinators; Fleet what coordinators do together, deploy/fleet.json.
 var (
 	//go:embed scenario.schema.json
 	Scenario []byte
@@ -17,4 +17,6 @@
 	Log []byte
 	//go:embed drill.schema.json
 	Drill []byte
+	//go:embed fleet.schema.json
+	Fleet []byte
 )
