--- a/internal/ctl/council.go
+++ b/internal/ctl/council.go
@@ -12,7 +12,7 @@
 	"aniseloft/internal/emulator/scenario"
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/ownership"
-	"aniseloft/internal/transport"
+	"aniseloft/internal/transport/council"
 	"aniseloft/schema"
 )
 
@@ -43,7 +43,7 @@
 	if !conf.On() {
 		return a, usage(fmt.Errorf("fleet: %s names no installation: nothing is done together here", f.file))
 	}
-	if a, err = transport.CallCouncil(conf, f.at, call, f.timeout); err != nil {
+	if a, err = council.Ask(conf, f.at, call, f.timeout); err != nil {
 		return a, fmt.Errorf("fleet: %w", err)
 	}
 	if a.Error != "" {
--- a/internal/drill/real.go
+++ b/internal/drill/real.go
@@ -25,7 +25,7 @@
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/ownership"
 	"aniseloft/internal/store"
-	"aniseloft/internal/transport"
+	"aniseloft/internal/transport/council"
 )
 
 // RealOptions say how a drill with real processes is played.
@@ -277,12 +277,12 @@
 	if r.opt.Off {
 		return nil
 	}
-	a, err := transport.CallCouncil(r.conf, "", ownership.Call{Op: ownership.OpStatus}, 300*time.Millisecond)
+	a, err := council.Ask(r.conf, "", ownership.Call{Op: ownership.OpStatus}, 300*time.Millisecond)
 	if err != nil || a.Status == nil {
 		return nil
 	}
 	if a.Status.Leader != "" && a.Status.Leader != a.Status.Seat {
-		if b, err := transport.CallCouncil(r.conf, a.Status.Leader, ownership.Call{Op: ownership.OpStatus}, 300*time.Millisecond); err == nil && b.Status != nil {
+		if b, err := council.Ask(r.conf, a.Status.Leader, ownership.Call{Op: ownership.OpStatus}, 300*time.Millisecond); err == nil && b.Status != nil {
 			return b.Status
 		}
 	}
@@ -390,7 +390,7 @@
 		if f.Kind == MoveJob {
 			call = ownership.Call{Op: ownership.OpMove, Job: r.d.Jobs[0], Name: Name(n)}
 		}
-		_, _ = transport.CallCouncil(r.conf, "", call, time.Second)
+		_, _ = council.Ask(r.conf, "", call, time.Second)
 	case Resize:
 		r.resize(f.Count)
 	case Reconnect:
--- a/internal/drill/virtual.go
+++ b/internal/drill/virtual.go
@@ -10,6 +10,7 @@
 
 	"aniseloft/internal/emulator/des"
 	"aniseloft/internal/ownership"
+	"aniseloft/internal/ownership/council"
 )
 
 // Without are guards that a play is to do without, to show that each matters.
@@ -69,13 +70,13 @@
 	up      bool
 	stopped bool
 	boot    int // which run of the process this is; what belongs to an earlier one is void
-	seat    *ownership.Seat
+	seat    *council.Seat
 	member  *ownership.Member
 	finder  *ownership.Finder
-	disk    ownership.Saved
-	past    []ownership.Saved // what the disk held, for one that goes back in time
-	busy    bool              // in a sync
-	slow    float64           // what the next sync takes
+	disk    council.Saved
+	past    []council.Saved // what the disk held, for one that goes back in time
+	busy    bool            // in a sync
+	slow    float64         // what the next sync takes
 	full    bool
 	queue   []func() // what waits for the sync, or for the process to go on
 	offset  float64
@@ -167,7 +168,7 @@
 	if v.number == 0 {
 		v.number = v.w.dice.Uint64()>>1 | 1
 	}
-	v.seat, err = ownership.NewSeat(ownership.SeatOptions{Name: v.name, Number: v.number, Names: slices.Clone(v.w.names), Generation: v.w.gen,
+	v.seat, err = council.NewSeat(council.SeatOptions{Name: v.name, Number: v.number, Names: slices.Clone(v.w.names), Generation: v.w.gen,
 		Jobs: v.w.d.Jobs, Timing: v.w.timing, Rand: rand.New(rand.NewPCG(v.w.dice.Uint64(), 1)), Saved: v.disk})
 	if err != nil {
 		v.w.logf("%s: %v", v.name, err)
@@ -206,11 +207,11 @@
 	v.carry(v.seat.Out())
 }
 
-func (v *vnode) carry(o ownership.Out) {
+func (v *vnode) carry(o council.Out) {
 	if o.Lost || o.Broken != "" {
 		v.w.logf("%s: its seat is over: lost %t %s", v.name, o.Lost, o.Broken)
 		if v.seat, v.queue = nil, nil; o.Lost {
-			v.disk, v.number, v.past = ownership.Saved{}, 0, nil
+			v.disk, v.number, v.past = council.Saved{}, 0, nil
 			_ = v.sit()
 		}
 		return
@@ -267,7 +268,7 @@
 
 const pastMost = 400 // states of a disk that are kept to go back to
 
-func (v *vnode) keep(o ownership.Out) {
+func (v *vnode) keep(o council.Out) {
 	v.past = append(v.past, v.disk)
 	if len(v.past) > pastMost {
 		v.past = v.past[1:]
@@ -280,7 +281,7 @@
 	v.disk = v.disk.Add(save, o.Compact)
 }
 
-func (v *vnode) dispatch(o ownership.Out) {
+func (v *vnode) dispatch(o council.Out) {
 	w := v.w
 	for _, e := range o.Events {
 		if e.What == "assign" {
@@ -295,9 +296,9 @@
 			w.loop.After(0.01, func() { w.end(v, f) })
 		}
 		if to := w.find(e.To); to != nil {
-			raw := ownership.EncodeMessage(e.Message)
+			raw := council.EncodeMessage(e.Message)
 			w.send(v.n, to.n, func() {
-				if m, err := ownership.DecodeMessage(raw); err == nil {
+				if m, err := council.DecodeMessage(raw); err == nil {
 					to.feed(func() { to.seat.Step(to.clock(), e.Council, m) })
 				}
 			})
@@ -588,7 +589,7 @@
 		w.loop.After(max(f.ForMS, 1), func() {
 			switch f.Disk {
 			case DiskLost:
-				v.disk, v.number, v.past = ownership.Saved{}, 0, nil
+				v.disk, v.number, v.past = council.Saved{}, 0, nil
 			case DiskRolledBack:
 				if len(v.past) > 0 {
 					w.calm = false
--- a/internal/ownership/book.go
+++ b/internal/ownership/council/book.go
@@ -1,33 +1,36 @@
-// Package ownership decides who does work on behalf of the whole fleet: one owner of a job
-// at a time, agreed by a council of coordinators under a lease, each grant with a fence that
-// only grows. It is a set of machines that know no socket, no disk and no clock: they are fed
-// messages and times, and say what must be made durable, sent and told. The agreement itself
-// is Raft, from go.etcd.io/raft; what is here is what the council agrees on, when it may be
-// agreed, and what a member may take from it. docs/ownership.md has the argument for safety.
-package ownership
+// Package council is the council's seats: what they agree on, when it may be agreed, and what follows. The
+// agreement itself is Raft, from go.etcd.io/raft. Like all of ownership it knows no socket, disk or clock.
+package council
 
 import (
 	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
-)
-
-// Millis is a time by one process's own clock, which never steps back. Two processes' times
-// are never compared.
-type Millis = float64
 
-// Fence is the number of a grant. Of two grants of one job the later has the higher.
-type Fence uint64
-
-// Holder is one run of one member: a process that is started again is another holder.
-type Holder struct {
-	Name string `json:"name"`
-	Boot uint64 `json:"boot"` // drawn at the start of the process
-}
+	"aniseloft/internal/ownership"
+)
 
-// String is the holder as logs and targets of fenced acts name it.
-func (h Holder) String() string { return fmt.Sprintf("%s/%x", h.Name, h.Boot) }
+// The words of members and operators, which the council's own machines speak too.
+type (
+	Millis       = ownership.Millis
+	Fence        = ownership.Fence
+	Holder       = ownership.Holder
+	Timing       = ownership.Timing
+	Hello        = ownership.Hello
+	Entry        = ownership.Entry
+	Ref          = ownership.Ref
+	Beat         = ownership.Beat
+	Grant        = ownership.Grant
+	Reply        = ownership.Reply
+	Owner        = ownership.Owner
+	Event        = ownership.Event
+	Call         = ownership.Call
+	Answer       = ownership.Answer
+	Status       = ownership.Status
+	JobStatus    = ownership.JobStatus
+	MemberStatus = ownership.MemberStatus
+)
 
 // Line is what the council holds true of one job.
 type Line struct {
@@ -36,16 +39,6 @@
 	Wanted string  `json:"wanted,omitempty"` // whom an operator wants to own it; empty: the council chooses
 }
 
-// Entry is one line of the book's history.
-type Entry struct {
-	Index uint64 `json:"index"` // of the log
-	Job   string `json:"job"`
-	Fence Fence  `json:"fence"`
-	Who   string `json:"who,omitempty"`
-	What  string `json:"what"`
-	Why   string `json:"why,omitempty"`
-}
-
 // historyMost is how many lines of history are kept: some days of a calm fleet.
 const historyMost = 256
 
--- a/internal/ownership/call.go
+++ b/internal/ownership/council/call.go
@@ -1,4 +1,4 @@
-package ownership
+package council
 
 import (
 	"errors"
@@ -8,64 +8,10 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
-)
 
-// What operators may ask of a seat.
-const (
-	OpStatus   = "status"
-	OpHistory  = "history"
-	OpMove     = "move"      // Job to Name; an empty name lets the council choose again
-	OpStepDown = "step-down" // the leader hands the council to another seat
+	"aniseloft/internal/ownership"
 )
 
-// Call is an operator's call.
-type Call struct {
-	Seq  uint64 `json:"seq"`
-	Op   string `json:"op"`
-	Job  string `json:"job,omitempty"`
-	Name string `json:"name,omitempty"`
-}
-
-// Answer is what a call comes to.
-type Answer struct {
-	Seq     uint64  `json:"seq"`
-	Leader  string  `json:"leader,omitempty"` // who is to be asked instead
-	Error   string  `json:"error,omitempty"`
-	Status  *Status `json:"status,omitempty"`
-	History []Entry `json:"history,omitempty"`
-}
-
-// Status is the council as one seat sees it.
-type Status struct {
-	Seat       string         `json:"seat"`
-	Leader     string         `json:"leader"` // empty: none is known
-	Term       uint64         `json:"term"`
-	Council    string         `json:"council"`
-	Generation uint64         `json:"generation"`
-	Seats      []string       `json:"seats"`
-	Jobs       []JobStatus    `json:"jobs"`
-	Members    []MemberStatus `json:"members,omitempty"` // the leader alone knows them
-}
-
-// JobStatus is one job's line.
-type JobStatus struct {
-	Job    string `json:"job"`
-	Fence  Fence  `json:"fence"`
-	Owner  string `json:"owner"`
-	Wanted string `json:"wanted,omitempty"`
-	// AgeMS is how long ago the owner last asked in time; the leader alone knows it.
-	AgeMS float64 `json:"age_ms"`
-}
-
-// MemberStatus is one member that the leader hears.
-type MemberStatus struct {
-	Name     string  `json:"name"`
-	AgeMS    float64 `json:"age_ms"`
-	Room     float64 `json:"room"`
-	Leaving  bool    `json:"leaving,omitempty"`
-	HeldDown bool    `json:"held_down,omitempty"`
-}
-
 var errMoved = errors.New("the council has another leader since; ask again")
 
 // Status is the council as this seat sees it.
@@ -89,7 +35,8 @@
 	}
 	if s.leads {
 		for name, p := range s.members {
-			out.Members = append(out.Members, MemberStatus{name, s.now - p.heard, p.beat.Room, p.beat.Leaving, s.heldDown(p)})
+			out.Members = append(out.Members, MemberStatus{Name: name, AgeMS: s.now - p.heard, Room: p.beat.Room,
+				Leaving: p.beat.Leaving, HeldDown: s.heldDown(p)})
 		}
 		slices.SortFunc(out.Members, func(a, b MemberStatus) int {
 			if a.Name < b.Name {
@@ -113,17 +60,17 @@
 func (s *Seat) Ask(now Millis, c Call) {
 	s.now = now
 	switch {
-	case c.Op == OpStatus:
+	case c.Op == ownership.OpStatus:
 		s.answer(c, s.Status(), nil)
-	case c.Op == OpHistory:
+	case c.Op == ownership.OpHistory:
 		s.out.Answers = append(s.out.Answers, Answer{Seq: c.Seq, History: slices.Clone(s.book.History)})
-	case c.Op != OpMove && c.Op != OpStepDown:
+	case c.Op != ownership.OpMove && c.Op != ownership.OpStepDown:
 		s.answer(c, nil, fmt.Errorf("%q is no call; status, history, move and step-down are", c.Op))
 	case !s.leads && s.leader() != "" && s.leader() != s.opt.Name:
 		s.out.Answers = append(s.out.Answers, Answer{Seq: c.Seq, Leader: s.leader()})
 	case !s.leads:
 		s.answer(c, nil, errors.New("the council has no leader now: nothing can be changed until a majority of its seats hear each other"))
-	case c.Op == OpStepDown:
+	case c.Op == ownership.OpStepDown:
 		s.answer(c, nil, s.stepDown())
 	case !slices.Contains(s.opt.Jobs, c.Job):
 		s.answer(c, nil, fmt.Errorf("%q is no job; %v are", c.Job, s.opt.Jobs))
--- a/internal/ownership/seat.go
+++ b/internal/ownership/council/seat.go
@@ -1,4 +1,4 @@
-package ownership
+package council
 
 import (
 	"cmp"
@@ -15,29 +15,9 @@
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
-)
-
-// Timing is the council's own times. All of them follow from the tick and the lease.
-type Timing struct {
-	Tick      Millis  // one step of the council's clock
-	Heartbeat int     // ticks between a leader's words
-	Election  int     // ticks of silence after which a seat stands; up to twice that, drawn
-	Lease     Millis  // of a grant, by the council's clock
-	Drift     float64 // the most that a clock's rate differs from true time, as a part
-}
 
-// Usual are times for one site: an election ends well within a lease, so that a leader's death
-// costs no owner its job.
-func Usual() Timing {
-	return Timing{Tick: 50, Heartbeat: 2, Election: 10, Lease: 2000, Drift: 0.01}
-}
-
-// Hello is a seat's word of itself to the others.
-type Hello struct {
-	Name    string `json:"name"`
-	Number  uint64 `json:"number"`  // drawn when its disk was first used
-	Council uint64 `json:"council"` // 0: it knows of none
-}
+	"aniseloft/internal/ownership"
+)
 
 // Saved is what a seat must find again after a restart.
 type Saved struct {
@@ -398,7 +378,7 @@
 		if l == nil {
 			continue
 		}
-		o := Owner{Ref: Ref{job, l.Fence}}
+		o := Owner{Ref: Ref{Job: job, Fence: l.Fence}}
 		if l.Holder != nil {
 			o.Name = l.Holder.Name
 			// What is on its way to another is not renewed any more.
@@ -463,7 +443,7 @@
 			p.lapses = 0
 		}
 	}
-	known := s.now-s.leadsAt >= 2*s.opt.Timing.Lease/beatsALease // by then all who are there have asked
+	known := s.now-s.leadsAt >= 2*s.opt.Timing.Lease/ownership.BeatsALease // by then all who are there have asked
 	for _, job := range s.opt.Jobs {
 		if since, ok := s.under[job]; ok && s.now-since < s.opt.Timing.Lease {
 			continue // a command that was lost is given again
@@ -671,7 +651,7 @@
 		return
 	}
 	for seq, call := range s.asking {
-		if call.Op == OpMove && c.Kind == cmdWant && call.Job == c.Job {
+		if call.Op == ownership.OpMove && c.Kind == cmdWant && call.Job == c.Job {
 			s.answer(call, s.Status(), nil)
 			delete(s.asking, seq)
 		}
@@ -680,7 +660,7 @@
 		return
 	}
 	l := s.book.Jobs[c.Job]
-	s.tell(Event{What: c.Kind, Why: c.Why, Ref: Ref{c.Job, l.Fence}, Who: nameOf(l.Holder)})
+	s.tell(Event{What: c.Kind, Why: c.Why, Ref: Ref{Job: c.Job, Fence: l.Fence}, Who: nameOf(l.Holder)})
 	if c.Kind == cmdAssign { // its time counts from the beat that showed it fit, by both clocks
 		if p := s.members[c.Holder.Name]; p != nil && p.beat.Holder == *c.Holder {
 			s.renewed[c.Job] = p.heard
--- a/internal/ownership/finder.go
+++ b/internal/ownership/finder.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// beatsALease is how often a member asks within one lease: several may be lost before a lease is.
-const beatsALease = 10
+// BeatsALease is how often a member asks within one lease: several may be lost before a lease is.
+const BeatsALease = 10
 
 // Finder decides which seat a member asks, and when.
 type Finder struct {
@@ -26,7 +26,7 @@
 	if now < f.due {
 		return "", false
 	}
-	every := f.lease / beatsALease
+	every := f.lease / BeatsALease
 	if f.asked >= 0 && now-f.asked > 2*every { // it is gone, cut off, or leads no more
 		f.at, f.asked = (f.at+1)%len(f.seats), -1
 	}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -37,6 +37,12 @@
 	return fleetconf.Parse(raw)
 }
 
+// fleetPart is this coordinator's part in the fleet, as newFleet makes it; a lean build has none.
+type fleetPart interface {
+	transport.Fleet
+	Reload(conf fleetconf.Config) error
+}
+
 // startFleet opens this coordinator's part in the fleet, before anything that relies on it.
 func (p *Program) startFleet(c fleetconf.Config) error {
 	if !c.On() {
@@ -46,20 +52,20 @@
 	if err != nil {
 		return err
 	}
-	p.council, err = transport.NewCouncil(c, p.conf.Name, clock, p.log)
+	p.fleet, err = newFleet(c, p.conf.Name, clock, p.log)
 	return err
 }
 
 // runFleet takes part until ctx ends.
 func (p *Program) runFleet(ctx context.Context) {
-	if p.council != nil {
-		go p.council.Run(ctx)
+	if p.fleet != nil {
+		go p.fleet.Run(ctx)
 	}
 }
 
 // handedOn tells whether the fleet's jobs are given back, or their time for that is up.
 func (p *Program) handedOn() bool {
-	return p.council == nil || p.council.Idle() || time.Since(p.since) > handOn
+	return p.fleet == nil || p.fleet.Idle() || time.Since(p.since) > handOn
 }
 
 // fleetClock is this process's own clock for the fleet: it begins with the process and never steps back,
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -93,7 +93,7 @@
 	store     *store.Store
 	spool     *spool.Store // nil where it is off
 
-	council *transport.Council // this coordinator's part in the fleet; nil where it is off
+	fleet fleetPart // this coordinator's part in the fleet; nil where it is off
 }
 
 // Run is the whole life of the program; it returns the exit code.
@@ -122,8 +122,8 @@
 			if p.Phase() == Serving {
 				p.enter(Draining)
 				p.handOver()
-				if p.council != nil {
-					p.council.Leave()
+				if p.fleet != nil {
+					p.fleet.Leave()
 				}
 			}
 		case <-reload:
@@ -230,8 +230,8 @@
 	p.state = newStateFile()
 	p.readState(p.state, true)
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
-	if p.council.Has(ownership.JobJournal) {
-		p.roster.Share(transport.NewSharedList(p.council, p.log))
+	if p.fleet != nil && p.fleet.Has(ownership.JobJournal) {
+		p.roster.Share(transport.NewSharedList(p.fleet, p.conf.Name, p.log))
 	}
 	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: p.ready, Take: p.drain.take, Leaving: p.leaving,
 		In: transport.NewBudget(p.memory(inShare)), Out: transport.NewBudget(p.memory(answerShare))}
@@ -287,7 +287,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Spool: p.spool, Keep: time.Duration(c.KeepSeconds) * time.Second,
-		Node: p.conf.Name, Every: time.Duration(c.PurgeMS) * time.Millisecond, Fleet: p.council,
+		Node: p.conf.Name, Every: time.Duration(c.PurgeMS) * time.Millisecond, Fleet: p.fleet,
 		Pass: p.ready, Take: p.drain.take, Leaving: p.leaving, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
@@ -350,8 +350,8 @@
 	}
 	if fleet, err := loadFleet(); err != nil {
 		p.log.Error("the fleet's file not reloaded, the old one stays", "err", err)
-	} else if p.council != nil {
-		if err := p.council.Reload(fleet); err != nil {
+	} else if p.fleet != nil {
+		if err := p.fleet.Reload(fleet); err != nil {
 			p.log.Error("the fleet's file not reloaded, the old one stays", "err", err)
 		}
 	}
@@ -374,8 +374,8 @@
 	if p.restFront != nil {
 		text += p.restFront.String()
 	}
-	if p.council != nil {
-		text += p.council.String() + fmt.Sprintf("counters journal calls=%d\n", p.roster.Calls.Load())
+	if p.fleet != nil {
+		text += p.fleet.String() + fmt.Sprintf("counters journal calls=%d\n", p.roster.Calls.Load())
 	}
 	_, _ = io.WriteString(p.errOut, text)
 }
--- a/internal/transport/councilcall.go
+++ b/internal/transport/council/call.go
@@ -1,4 +1,4 @@
-package transport
+package council
 
 import (
 	"errors"
@@ -14,9 +14,9 @@
 // ErrNoSeat says that no seat of the council answered.
 var ErrNoSeat = errors.New("no seat of the council answers")
 
-// CallCouncil asks the seats in turn, beginning with first where it is named, until one answers, and goes
+// Ask asks the seats in turn, beginning with first where it is named, until one answers, and goes
 // on to the leader where only that one can.
-func CallCouncil(c fleetconf.Config, first string, call ownership.Call, timeout time.Duration) (ownership.Answer, error) {
+func Ask(c fleetconf.Config, first string, call ownership.Call, timeout time.Duration) (ownership.Answer, error) {
 	names := c.Names()
 	if first != "" {
 		if c.Addr(first) == "" {
--- a/internal/transport/council.go
+++ b/internal/transport/council/council.go
@@ -1,4 +1,6 @@
-package transport
+// Package council drives a coordinator's part in the fleet over sockets and a disk: its seat in the council, if
+// it has one, and its membership. It is heavy and stays out of a lean build.
+package council
 
 import (
 	"context"
@@ -20,26 +22,23 @@
 
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/ownership"
+	seats "aniseloft/internal/ownership/council"
 	"aniseloft/internal/protocol/fleet"
+	"aniseloft/internal/transport"
 )
 
+var codec = jsoniter.ConfigCompatibleWithStandardLibrary
+
 const (
-	councilDial  = 500 * time.Millisecond
-	councilRetry = 50 * time.Millisecond  // the least wait before a seat is dialled again
-	councilMost  = 800 * time.Millisecond // and the most
-	councilWrite = 2 * time.Second        // a peer that does not read is cut off
-	councilQueue = 256                    // frames that wait for one peer; more are lost, as any may be
-	councilPeers = 1024                   // connections that a seat takes
-	seenFile     = "fences.json"
+	dialWithin  = 500 * time.Millisecond
+	retryLeast  = 50 * time.Millisecond  // the least wait before a seat is dialled again
+	retryMost   = 800 * time.Millisecond // and the most
+	writeWithin = 2 * time.Second        // a peer that does not read is cut off
+	queueMost   = 256                    // frames that wait for one peer; more are lost, as any may be
+	peersMost   = 1024                   // connections that a seat takes
+	seenFile    = "fences.json"
 )
 
-// Published is what the owner of a job tells all members.
-type Published struct {
-	ownership.Owner
-	Seq  uint64              `json:"seq"`
-	Data jsoniter.RawMessage `json:"data"`
-}
-
 // Council is the driver of this coordinator's part in the fleet: its seat, if it has one, and its
 // membership. Every decision is the ownership package's.
 type Council struct {
@@ -53,23 +52,22 @@
 	mu      sync.Mutex // the member's
 	member  *ownership.Member
 	finder  *ownership.Finder
-	to      *councilConn // to the seat that the finder points at
+	to      *peer // to the seat that the finder points at
 	toSeat  string
 	waiting bool
 	soon    chan struct{}
-	// Heard takes what an owner publishes, once its fence is kept. Nil: nobody listens.
-	Heard func(Published)
-
-	changed chan struct{}              // there is a new file
-	in      chan func(*ownership.Seat) // to the seat
-	seat    *ownership.Seat            // its own goroutine's alone; nil: there is none
-	disk    *councilDisk
-	net     net.Listener            // nil: this coordinator has no seat
-	seats   map[string]*councilConn // to other seats; the seat's goroutine's alone
-	due     map[string]time.Time    // when each may be dialled again
+	give    func(transport.Published) // takes what an owner publishes; nil: nobody listens
+
+	changed chan struct{}          // there is a new file
+	in      chan func(*seats.Seat) // to the seat
+	seat    *seats.Seat            // its own goroutine's alone; nil: there is none
+	disk    *disk
+	net     net.Listener         // nil: this coordinator has no seat
+	seats   map[string]*peer     // to other seats; the seat's goroutine's alone
+	due     map[string]time.Time // when each may be dialled again
 	backs   map[string]time.Duration
-	asked   map[string]*councilConn // by holder: where its beats come from; nil: from this process
-	calls   map[uint64]*councilConn
+	asked   map[string]*peer // by holder: where its beats come from; nil: from this process
+	calls   map[uint64]*peer
 	callNo  uint64
 
 	counts struct {
@@ -77,13 +75,20 @@
 	}
 }
 
-// NewCouncil opens what the file asks of this coordinator. Clock is its own, which never steps
+// Hear has f take what owners publish, once its fence is kept.
+func (c *Council) Hear(f func(transport.Published)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.give = f
+}
+
+// New opens what the file asks of this coordinator. Clock is its own, which never steps
 // back; room is what it can take.
-func NewCouncil(conf fleetconf.Config, name string, clock func() ownership.Millis, log *slog.Logger) (*Council, error) {
+func New(conf fleetconf.Config, name string, clock func() ownership.Millis, log *slog.Logger) (*Council, error) {
 	c := &Council{conf: conf, name: name, installation: fleet.Installation(conf.Installation), clock: clock, log: log,
-		soon: make(chan struct{}, 1), started: time.Now(), asked: map[string]*councilConn{}, calls: map[uint64]*councilConn{},
-		seats: map[string]*councilConn{}, due: map[string]time.Time{}, backs: map[string]time.Duration{},
-		changed: make(chan struct{}, 1), in: make(chan func(*ownership.Seat), councilQueue)}
+		soon: make(chan struct{}, 1), started: time.Now(), asked: map[string]*peer{}, calls: map[uint64]*peer{},
+		seats: map[string]*peer{}, due: map[string]time.Time{}, backs: map[string]time.Duration{},
+		changed: make(chan struct{}, 1), in: make(chan func(*seats.Seat), queueMost)}
 	room := conf.Room
 	if room == 0 {
 		room = 1
@@ -137,18 +142,18 @@
 // sit opens the seat from its disk, and its address.
 func (c *Council) sit() error {
 	conf := c.file()
-	d, saved, err := openCouncilDisk(conf.Directory, c.installation)
+	d, saved, err := openDisk(conf.Directory, c.installation)
 	if err != nil {
 		return err
 	}
-	seat, err := ownership.NewSeat(ownership.SeatOptions{Name: c.name, Number: d.number, Names: conf.Names(), Generation: conf.Generation,
+	seat, err := seats.NewSeat(seats.SeatOptions{Name: c.name, Number: d.number, Names: conf.Names(), Generation: conf.Generation,
 		Jobs: conf.Jobs, Timing: conf.Timing(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Saved: saved})
 	if err != nil {
 		_ = d.close()
 		return fmt.Errorf("council: %s: %w; move it away: the seat is then taken in anew", d.path, err)
 	}
 	if c.net == nil {
-		if c.net, err = (&net.ListenConfig{Control: reusePort}).Listen(context.Background(), "tcp4", conf.Addr(c.name)); err != nil {
+		if c.net, err = (&net.ListenConfig{Control: transport.ReusePort}).Listen(context.Background(), "tcp4", conf.Addr(c.name)); err != nil {
 			_ = d.close()
 			return fmt.Errorf("council: %w", err)
 		}
@@ -187,7 +192,7 @@
 		return fmt.Errorf("council: %w", err)
 	}
 	var seen []ownership.Owner
-	if err := pagesJSON.Unmarshal(raw, &seen); err != nil {
+	if err := codec.Unmarshal(raw, &seen); err != nil {
 		return fmt.Errorf("council: %s: %w; move it away: the fences that it held are then learned anew from the council", path, err)
 	}
 	for _, o := range seen {
@@ -204,7 +209,7 @@
 			seen = append(seen, o)
 		}
 	}
-	raw, err := pagesJSON.Marshal(seen)
+	raw, err := codec.Marshal(seen)
 	if err != nil {
 		return fmt.Errorf("council: %w", err)
 	}
@@ -270,7 +275,7 @@
 }
 
 // Has tells whether the job is the fleet's.
-func (c *Council) Has(job string) bool { return c != nil && slices.Contains(c.conf.Jobs, job) }
+func (c *Council) Has(job string) bool { return slices.Contains(c.conf.Jobs, job) }
 
 // Leave gives everything back; Idle tells whether that is done.
 func (c *Council) Leave() {
@@ -337,7 +342,7 @@
 		}
 		c.counts.beats.Add(1)
 		if seat == c.name {
-			c.feed(func(s *ownership.Seat) {
+			c.feed(func(s *seats.Seat) {
 				c.asked[beat.Holder.String()] = nil
 				s.Take(c.clock(), beat)
 			})
@@ -350,7 +355,7 @@
 }
 
 // way is the connection to the seat that is asked; nil: there is none yet.
-func (c *Council) way(ctx context.Context, seat string) *councilConn {
+func (c *Council) way(ctx context.Context, seat string) *peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.to != nil && c.toSeat == seat && !c.to.closed() {
@@ -366,7 +371,7 @@
 	c.waiting = true
 	addr := c.conf.Addr(seat)
 	go func() {
-		conn, err := (&net.Dialer{Timeout: councilDial}).DialContext(ctx, "tcp4", addr)
+		conn, err := (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp4", addr)
 		c.mu.Lock()
 		c.waiting = false
 		if err == nil {
@@ -379,7 +384,7 @@
 }
 
 // fromLeader takes what comes on the member's connection.
-func (c *Council) fromLeader(_ *councilConn, f fleet.Frame) error {
+func (c *Council) fromLeader(_ *peer, f fleet.Frame) error {
 	switch f.Kind {
 	case fleet.Reply:
 		var r ownership.Reply
@@ -415,8 +420,8 @@
 
 // heard takes what an owner publishes: never from an older owner than was seen, across restarts too.
 func (c *Council) heard(raw []byte) error {
-	var p Published
-	if err := pagesJSON.Unmarshal(raw, &p); err != nil {
+	var p transport.Published
+	if err := codec.Unmarshal(raw, &p); err != nil {
 		return fmt.Errorf("%w: %w", fleet.ErrMalformed, err)
 	}
 	if !c.Has(p.Job) {
@@ -437,16 +442,16 @@
 		}
 	}
 	c.counts.followed.Add(1)
-	if c.Heard != nil {
-		c.Heard(p)
+	if c.give != nil {
+		c.give(p)
 	}
 	return nil
 }
 
 // Publish tells all members something under the grant of a job. Where it gets lost, the next says it anew.
 func (c *Council) Publish(job string, fence ownership.Fence, seq uint64, data []byte) {
-	p := Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: job, Fence: fence}, Name: c.name}, Seq: seq, Data: data}
-	raw, err := pagesJSON.Marshal(p)
+	p := transport.Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: job, Fence: fence}, Name: c.name}, Seq: seq, Data: data}
+	raw, err := codec.Marshal(p)
 	if err != nil {
 		return
 	}
@@ -455,7 +460,7 @@
 	seat, to := c.finder.At(), c.to
 	c.mu.Unlock()
 	if seat == c.name {
-		c.feed(func(*ownership.Seat) { c.spread(raw) })
+		c.feed(func(*seats.Seat) { c.spread(raw) })
 	} else if to != nil {
 		to.send(fleet.Append(nil, c.installation, fleet.Frame{Kind: fleet.Publish, Payload: raw}))
 	}
@@ -474,7 +479,7 @@
 }
 
 // feed has the seat take something; what finds no room is lost, as any message may be.
-func (c *Council) feed(f func(*ownership.Seat)) {
+func (c *Council) feed(f func(*seats.Seat)) {
 	select {
 	case c.in <- f:
 	default:
@@ -499,12 +504,12 @@
 		}
 	}()
 	for {
-		var f func(*ownership.Seat)
+		var f func(*seats.Seat)
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			f = func(s *ownership.Seat) { s.Tick(c.clock()) }
+			f = func(s *seats.Seat) { s.Tick(c.clock()) }
 		case <-c.changed:
 			c.reseat(ctx)
 			continue
@@ -519,7 +524,7 @@
 }
 
 // carryOut does what the seat wants done.
-func (c *Council) carryOut(ctx context.Context, o ownership.Out) {
+func (c *Council) carryOut(ctx context.Context, o seats.Out) {
 	for _, e := range o.Events {
 		c.log.Info("council: "+e.What, "job", e.Job, "fence", e.Fence, "who", e.Who, "why", e.Why)
 	}
@@ -545,12 +550,12 @@
 		return
 	}
 	for _, e := range o.Send {
-		raw := ownership.EncodeMessage(e.Message)
+		raw := seats.EncodeMessage(e.Message)
 		c.toOther(ctx, e.To, fleet.Append(nil, c.installation, fleet.Frame{Kind: fleet.Agree, Council: e.Council, Payload: raw}))
 	}
 	if o.Hellos {
-		maps.DeleteFunc(c.asked, func(_ string, to *councilConn) bool { return to != nil && to.closed() })
-		maps.DeleteFunc(c.calls, func(_ uint64, to *councilConn) bool { return to.closed() })
+		maps.DeleteFunc(c.asked, func(_ string, to *peer) bool { return to != nil && to.closed() })
+		maps.DeleteFunc(c.calls, func(_ uint64, to *peer) bool { return to.closed() })
 		frame := fleet.AppendJSON(nil, c.installation, fleet.Hello, c.seat.Hello())
 		for _, s := range c.file().Seats {
 			if s.Name != c.name {
@@ -590,12 +595,12 @@
 	if now.Before(c.due[name]) {
 		return
 	}
-	back := min(max(2*c.backs[name], councilRetry), councilMost)
-	c.backs[name], c.due[name] = back, now.Add(councilDial+back/2+rand.N(back))
+	back := min(max(2*c.backs[name], retryLeast), retryMost)
+	c.backs[name], c.due[name] = back, now.Add(dialWithin+back/2+rand.N(back))
 	addr := c.file().Addr(name)
 	go func() {
-		conn, err := (&net.Dialer{Timeout: councilDial}).DialContext(ctx, "tcp4", addr)
-		c.feed(func(*ownership.Seat) {
+		conn, err := (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp4", addr)
+		c.feed(func(*seats.Seat) {
 			if err != nil {
 				c.due[name] = time.Now().Add(back/2 + rand.N(back))
 				return
@@ -610,14 +615,14 @@
 func (c *Council) accept(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	defer stop()
-	gate := make(chan struct{}, councilPeers)
+	gate := make(chan struct{}, peersMost)
 	for {
 		conn, err := c.net.Accept()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			time.Sleep(councilRetry)
+			time.Sleep(retryLeast)
 			continue
 		}
 		select {
@@ -631,27 +636,27 @@
 }
 
 // fromPeer takes what comes to this seat.
-func (c *Council) fromPeer(from *councilConn, f fleet.Frame) error {
+func (c *Council) fromPeer(from *peer, f fleet.Frame) error {
 	switch f.Kind {
 	case fleet.Hello:
 		var h ownership.Hello
 		if err := f.Decode(&h); err != nil {
 			return err
 		}
-		c.feed(func(s *ownership.Seat) { s.Hear(c.clock(), h) })
+		c.feed(func(s *seats.Seat) { s.Hear(c.clock(), h) })
 	case fleet.Agree:
-		m, err := ownership.DecodeMessage(f.Payload)
+		m, err := seats.DecodeMessage(f.Payload)
 		if err != nil {
 			return err
 		}
 		c.counts.agreed.Add(1)
-		c.feed(func(s *ownership.Seat) { s.Step(c.clock(), f.Council, m) })
+		c.feed(func(s *seats.Seat) { s.Step(c.clock(), f.Council, m) })
 	case fleet.Beat:
 		var b ownership.Beat
 		if err := f.Decode(&b); err != nil {
 			return err
 		}
-		c.feed(func(s *ownership.Seat) {
+		c.feed(func(s *seats.Seat) {
 			c.asked[b.Holder.String()] = from
 			s.Take(c.clock(), b)
 		})
@@ -660,7 +665,7 @@
 		if err := f.Decode(&call); err != nil {
 			return err
 		}
-		c.feed(func(s *ownership.Seat) {
+		c.feed(func(s *seats.Seat) {
 			c.callNo++
 			call.Seq = c.callNo
 			c.calls[call.Seq] = from
@@ -668,13 +673,13 @@
 		})
 	case fleet.Publish:
 		raw := slices.Clone(f.Payload)
-		c.feed(func(*ownership.Seat) { c.spread(raw) })
+		c.feed(func(*seats.Seat) { c.spread(raw) })
 	}
 	return nil
 }
 
-// councilConn is one connection with frames that wait to be written.
-type councilConn struct {
+// peer is one connection with frames that wait to be written.
+type peer struct {
 	net.Conn
 	out  chan []byte
 	gone chan struct{}
@@ -682,11 +687,11 @@
 	of   *Council
 }
 
-func (cc *councilConn) close() {
+func (cc *peer) close() {
 	cc.once.Do(func() { close(cc.gone); _ = cc.Conn.Close() })
 }
 
-func (cc *councilConn) closed() bool {
+func (cc *peer) closed() bool {
 	select {
 	case <-cc.gone:
 		return true
@@ -696,7 +701,7 @@
 }
 
 // send queues a frame; where the peer does not read it is lost.
-func (cc *councilConn) send(frame []byte) {
+func (cc *peer) send(frame []byte) {
 	select {
 	case cc.out <- frame:
 	default:
@@ -705,8 +710,8 @@
 }
 
 // serve reads and writes one connection on goroutines of its own.
-func (c *Council) serve(ctx context.Context, conn net.Conn, take func(*councilConn, fleet.Frame) error) *councilConn {
-	cc := &councilConn{Conn: conn, out: make(chan []byte, councilQueue), gone: make(chan struct{}), of: c}
+func (c *Council) serve(ctx context.Context, conn net.Conn, take func(*peer, fleet.Frame) error) *peer {
+	cc := &peer{Conn: conn, out: make(chan []byte, queueMost), gone: make(chan struct{}), of: c}
 	stop := context.AfterFunc(ctx, cc.close)
 	go func() {
 		defer cc.close()
@@ -715,7 +720,7 @@
 			case <-cc.gone:
 				return
 			case frame := <-cc.out:
-				_ = conn.SetWriteDeadline(time.Now().Add(councilWrite))
+				_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
 				if _, err := conn.Write(frame); err != nil {
 					return
 				}
--- a/internal/transport/council_test.go
+++ b/internal/transport/council/council_test.go
@@ -1,4 +1,4 @@
-package transport
+package council
 
 import (
 	"fmt"
@@ -16,6 +16,7 @@
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/ownership"
 	"aniseloft/internal/protocol/fleet"
+	"aniseloft/internal/transport"
 )
 
 // logged keeps what is logged, for tests that look for a line.
@@ -51,7 +52,7 @@
 	conf := fleetconf.Config{Installation: "here", Generation: 1, Directory: t.TempDir(), Jobs: []string{ownership.JobPrune, ownership.JobJournal},
 		Seats: []fleetconf.Seat{{Name: "n0", Addr: addr}}}
 	out := &logged{}
-	c, err := NewCouncil(conf, "n0", monotone(), slog.New(slog.NewTextHandler(out, nil)))
+	c, err := New(conf, "n0", monotone(), slog.New(slog.NewTextHandler(out, nil)))
 	require.NoError(t, err)
 	go c.Run(t.Context())
 	require.Eventually(t, func() bool { return c.Owns(ownership.JobPrune) }, 10*time.Second, 10*time.Millisecond)
@@ -61,7 +62,7 @@
 // What is not of this installation, of this version or whole is counted and its connection closed; nothing is granted by it.
 func TestCouncilBearsStrangers(t *testing.T) {
 	c, conf, out := alone(t)
-	before, err := CallCouncil(conf, "", ownership.Call{Op: ownership.OpHistory}, 5*time.Second)
+	before, err := Ask(conf, "", ownership.Call{Op: ownership.OpHistory}, 5*time.Second)
 	require.NoError(t, err)
 	beat := ownership.Beat{Holder: ownership.Holder{Name: "thief", Boot: 1}, Stamp: 1, Room: 1e9, Jobs: conf.Jobs, Refused: []ownership.Ref{{Job: "no-such-job", Fence: 99}}}
 	whole := fleet.AppendJSON(nil, fleet.Installation("here"), fleet.Beat, beat)
@@ -87,17 +88,17 @@
 		n, err := conn.Read(make([]byte, 64))
 		require.Zero(t, n, name)
 		require.Error(t, err, name)
-		require.False(t, isTimeout(err), "%s: the connection stays open", name)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%s: the connection stays open", name)
 		_ = conn.Close()
 	}
 	// A message of yesterday's council, whole and of this installation, changes nothing either.
 	conn, err := net.Dial("tcp4", conf.Seats[0].Addr)
 	require.NoError(t, err)
-	_, err = conn.Write(fleet.AppendJSON(nil, fleet.Installation("here"), fleet.Publish, Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: ownership.JobJournal}, Name: "thief"}}))
+	_, err = conn.Write(fleet.AppendJSON(nil, fleet.Installation("here"), fleet.Publish, transport.Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: ownership.JobJournal}, Name: "thief"}}))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return strings.Contains(out.String(), "an older owner is not followed") }, 10*time.Second, 10*time.Millisecond)
 	_ = conn.Close()
-	after, err := CallCouncil(conf, "", ownership.Call{Op: ownership.OpHistory}, 5*time.Second)
+	after, err := Ask(conf, "", ownership.Call{Op: ownership.OpHistory}, 5*time.Second)
 	require.NoError(t, err)
 	require.Equal(t, before.History, after.History)
 	require.True(t, c.Owns(ownership.JobPrune))
@@ -111,24 +112,24 @@
 		Seats: []fleetconf.Seat{{Name: "far", Addr: "127.0.0.1:1"}}}
 	say := func(c *Council, fence ownership.Fence, name string) int {
 		heard := 0
-		c.Heard = func(Published) { heard++ }
-		raw, err := pagesJSON.Marshal(Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: ownership.JobJournal, Fence: fence}, Name: name}})
+		c.Hear(func(transport.Published) { heard++ })
+		raw, err := codec.Marshal(transport.Published{Owner: ownership.Owner{Ref: ownership.Ref{Job: ownership.JobJournal, Fence: fence}, Name: name}})
 		require.NoError(t, err)
 		require.NoError(t, c.heard(raw))
 		return heard
 	}
 	log := slog.New(slog.DiscardHandler)
-	c, err := NewCouncil(conf, "n7", monotone(), log)
+	c, err := New(conf, "n7", monotone(), log)
 	require.NoError(t, err)
 	require.Equal(t, 1, say(c, 4, "n1"))
 	require.Equal(t, 0, say(c, 3, "n2"), "an older grant")
 	require.Equal(t, 0, say(c, 4, "n2"), "the same grant under another name")
-	c, err = NewCouncil(conf, "n7", monotone(), log)
+	c, err = New(conf, "n7", monotone(), log)
 	require.NoError(t, err)
 	require.Equal(t, 0, say(c, 3, "n2"), "an older grant, after a restart")
 	require.Equal(t, 1, say(c, 4, "n1"))
 	require.NoError(t, os.WriteFile(filepath.Join(dir, seenFile), []byte("{"), 0o600))
-	_, err = NewCouncil(conf, "n7", monotone(), log)
+	_, err = New(conf, "n7", monotone(), log)
 	require.ErrorContains(t, err, "move it away")
 }
 
@@ -144,18 +145,18 @@
 		{ownership.Call{Op: ownership.OpMove, Job: ownership.JobPrune, Name: "n9"}, "nothing is heard of"},
 		{ownership.Call{Op: ownership.OpStepDown}, "no other seat"},
 	} {
-		a, err := CallCouncil(conf, "", c.call, 5*time.Second)
+		a, err := Ask(conf, "", c.call, 5*time.Second)
 		require.NoError(t, err)
 		require.Contains(t, a.Error, c.says)
 	}
-	a, err := CallCouncil(conf, "n0", ownership.Call{Op: ownership.OpMove, Job: ownership.JobPrune, Name: "n0"}, 5*time.Second)
+	a, err := Ask(conf, "n0", ownership.Call{Op: ownership.OpMove, Job: ownership.JobPrune, Name: "n0"}, 5*time.Second)
 	require.NoError(t, err)
 	require.Empty(t, a.Error)
 	require.Equal(t, "n0", a.Status.Jobs[0].Wanted)
-	_, err = CallCouncil(conf, "n5", ownership.Call{Op: ownership.OpStatus}, time.Second)
+	_, err = Ask(conf, "n5", ownership.Call{Op: ownership.OpStatus}, time.Second)
 	require.ErrorContains(t, err, "is no seat")
 	conf.Seats[0].Addr = "127.0.0.1:1"
-	_, err = CallCouncil(conf, "", ownership.Call{Op: ownership.OpStatus}, time.Second)
+	_, err = Ask(conf, "", ownership.Call{Op: ownership.OpStatus}, time.Second)
 	require.ErrorIs(t, err, ErrNoSeat)
 	require.ErrorContains(t, err, fmt.Sprintf("seat n0 at %s", conf.Seats[0].Addr))
 }
--- a/internal/transport/councildisk.go
+++ b/internal/transport/council/disk.go
@@ -1,4 +1,4 @@
-package transport
+package council
 
 import (
 	"encoding/binary"
@@ -13,14 +13,14 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"aniseloft/internal/ownership"
+	seats "aniseloft/internal/ownership/council"
 )
 
-// councilFile is what a seat keeps in its directory.
-const councilFile = "council.db"
+// dbFile is what a seat keeps in its directory.
+const dbFile = "council.db"
 
-// councilForm is the form of that file.
-const councilForm = 1
+// dbForm is the form of that file.
+const dbForm = 1
 
 var (
 	bucketMeta  = []byte("meta")
@@ -28,8 +28,8 @@
 	bucketLog   = []byte("log")
 )
 
-// councilDisk keeps what a seat must find again after a restart.
-type councilDisk struct {
+// disk keeps what a seat must find again after a restart.
+type disk struct {
 	path         string
 	installation uint64
 	db           *bbolt.DB
@@ -37,14 +37,14 @@
 	syncs        int64
 }
 
-// openCouncilDisk opens a seat's file, or makes it. A file of another installation, of a newer form,
+// openDisk opens a seat's file, or makes it. A file of another installation, of a newer form,
 // in use, or damaged is an error that says what to do.
-func openCouncilDisk(dir string, installation uint64) (*councilDisk, ownership.Saved, error) {
-	var saved ownership.Saved
+func openDisk(dir string, installation uint64) (*disk, seats.Saved, error) {
+	var saved seats.Saved
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, saved, fmt.Errorf("council: %w", err)
 	}
-	d := &councilDisk{path: filepath.Join(dir, councilFile), installation: installation}
+	d := &disk{path: filepath.Join(dir, dbFile), installation: installation}
 	db, err := bbolt.Open(d.path, 0o600, &bbolt.Options{Timeout: time.Second})
 	if errors.Is(err, bbolt.ErrTimeout) {
 		return nil, saved, fmt.Errorf("council: %s is in use by another process; each seat needs a directory of its own", d.path)
@@ -60,7 +60,7 @@
 	return d, saved, nil
 }
 
-func (d *councilDisk) open(saved *ownership.Saved) error {
+func (d *disk) open(saved *seats.Saved) error {
 	return d.db.Update(func(tx *bbolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
 		if err != nil {
@@ -70,12 +70,12 @@
 			for d.number == 0 {
 				d.number = rand.Uint64() >> 1
 			}
-			if err := errors.Join(meta.Put([]byte("form"), number64(councilForm)), meta.Put([]byte("installation"), number64(d.installation)),
+			if err := errors.Join(meta.Put([]byte("form"), number64(dbForm)), meta.Put([]byte("installation"), number64(d.installation)),
 				meta.Put([]byte("number"), number64(d.number))); err != nil {
 				return err
 			}
-		} else if form := binary.BigEndian.Uint64(raw); form > councilForm {
-			return fmt.Errorf("it has form %d, this program knows forms up to %d", form, councilForm)
+		} else if form := binary.BigEndian.Uint64(raw); form > dbForm {
+			return fmt.Errorf("it has form %d, this program knows forms up to %d", form, dbForm)
 		}
 		if got := binary.BigEndian.Uint64(meta.Get([]byte("installation"))); got != d.installation {
 			return errors.New("it is of another installation; give this one a directory of its own")
@@ -116,7 +116,7 @@
 
 // save makes what a seat wants saved durable: when it returns nil, a kill of the process or the
 // machine does not take it back.
-func (d *councilDisk) save(s *ownership.Saved, compact uint64) error {
+func (d *disk) save(s *seats.Saved, compact uint64) error {
 	d.syncs++
 	err := d.db.Update(func(tx *bbolt.Tx) error {
 		state, entries := tx.Bucket(bucketState), tx.Bucket(bucketLog)
@@ -170,10 +170,10 @@
 	return b.Put(key, raw)
 }
 
-func (d *councilDisk) close() error { return d.db.Close() }
+func (d *disk) close() error { return d.db.Close() }
 
 // drop empties the disk for good: a new start gets a number of its own.
-func (d *councilDisk) drop() error {
+func (d *disk) drop() error {
 	_ = d.db.Close()
 	return os.Remove(d.path)
 }
--- a/internal/transport/councildisk_test.go
+++ b/internal/transport/council/disk_test.go
@@ -1,4 +1,4 @@
-package transport
+package council
 
 import (
 	"os"
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"aniseloft/internal/ownership"
+	seats "aniseloft/internal/ownership/council"
 )
 
 // The file holds, after any saves, what the machines' own way of adding them up does.
@@ -18,11 +18,11 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		dir, err := os.MkdirTemp(t.TempDir(), "seat")
 		require.NoError(rt, err)
-		d, saved, err := openCouncilDisk(dir, 7)
+		d, saved, err := openDisk(dir, 7)
 		require.NoError(rt, err)
 		model, last := saved, uint64(0)
 		for range rapid.IntRange(1, 8).Draw(rt, "saves") {
-			var s ownership.Saved
+			var s seats.Saved
 			var compact uint64
 			if rapid.Bool().Draw(rt, "hard") {
 				s.Hard = &raftpb.HardState{Term: new(rapid.Uint64().Draw(rt, "term"))}
@@ -50,7 +50,7 @@
 		}
 		number := d.number
 		require.NoError(rt, d.close())
-		d, saved, err = openCouncilDisk(dir, 7)
+		d, saved, err = openDisk(dir, 7)
 		require.NoError(rt, err)
 		require.Equal(rt, number, d.number)
 		require.True(rt, proto.Equal(model.Hard, saved.Hard) || model.Hard == nil && saved.Hard == nil)
@@ -65,20 +65,20 @@
 
 func TestCouncilDiskRefusesWhatIsNotItsOwn(t *testing.T) {
 	dir := t.TempDir()
-	d, _, err := openCouncilDisk(dir, 7)
+	d, _, err := openDisk(dir, 7)
 	require.NoError(t, err)
-	_, _, err = openCouncilDisk(dir, 7)
+	_, _, err = openDisk(dir, 7)
 	require.ErrorContains(t, err, "in use by another process")
 	require.NoError(t, d.close())
-	_, _, err = openCouncilDisk(dir, 8)
+	_, _, err = openDisk(dir, 8)
 	require.ErrorContains(t, err, "of another installation")
 	was := d.number
 	require.NoError(t, d.drop())
-	d, _, err = openCouncilDisk(dir, 8)
+	d, _, err = openDisk(dir, 8)
 	require.NoError(t, err)
 	require.NotEqual(t, was, d.number, "an emptied disk is another one")
 	require.NoError(t, d.close())
-	require.NoError(t, os.WriteFile(filepath.Join(dir, councilFile), []byte("not a database, but long enough to be looked at"), 0o600))
-	_, _, err = openCouncilDisk(dir, 8)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, dbFile), []byte("not a database, but long enough to be looked at"), 0o600))
+	_, _, err = openDisk(dir, 8)
 	require.ErrorContains(t, err, "move it away")
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -139,7 +139,7 @@
 func Listen(addr string, limit int, log *slog.Logger, serve func(context.Context, *Guest)) (*Listener, error) {
 	// Each read has its own limit, and the calls to set it up cost. A second process of an
 	// upgrade listens at the same address beside the first.
-	c := net.ListenConfig{KeepAlive: -1, Control: reusePort}
+	c := net.ListenConfig{KeepAlive: -1, Control: ReusePort}
 	n, err := c.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
 		return nil, err
@@ -149,10 +149,10 @@
 	return l, nil
 }
 
-// reusePort lets another process listen at the address too: the kernel shares the
+// ReusePort lets another process listen at the address too: the kernel shares the
 // connections that come between the two. (Steering them all to the newer process with a
 // classic BPF program was tried: the kernel here does not support it.)
-func reusePort(_, _ string, c syscall.RawConn) error {
+func ReusePort(_, _ string, c syscall.RawConn) error {
 	var err error
 	if ctl := c.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	// During an upgrade the old process is still there: each datagram comes to one of the two.
-	conf := net.ListenConfig{Control: reusePort}
+	conf := net.ListenConfig{Control: ReusePort}
 	c, err := conf.ListenPacket(context.Background(), "udp4", at.String())
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -52,7 +52,7 @@
 	Keep    time.Duration // how long an ended query can be read and its key is held
 	Node    string        // this coordinator, in a record that several share
 	Every   time.Duration // between two purges; 0: the usual
-	Fleet   *Council      // nil, or it has not this job: each coordinator purges
+	Fleet   Fleet         // nil, or it has not this job: each coordinator purges
 	Log     *slog.Logger
 
 	mu   sync.Mutex
@@ -132,7 +132,7 @@
 
 // purge drops what has expired: by itself, or for all where this coordinator owns that.
 func (f *RestClients) purge(ctx context.Context) error {
-	if !f.Fleet.Has(ownership.JobPrune) {
+	if f.Fleet == nil || !f.Fleet.Has(ownership.JobPrune) {
 		_, err := f.Store.Purge(ctx, time.Now())
 		return err
 	}
--- a/internal/transport/sharedlist.go
+++ b/internal/transport/sharedlist.go
@@ -1,10 +1,13 @@
 package transport
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"time"
 
+	jsoniter "github.com/json-iterator/go"
+
 	"aniseloft/internal/ownership"
 	"aniseloft/internal/protocol/journal"
 )
@@ -21,6 +24,29 @@
 	sharedOwn = 2 * time.Second
 )
 
+// Fleet is this coordinator's part in what many do together: which jobs the fleet has, whether an act of one
+// may begin here, and what others are told under it.
+type Fleet interface {
+	Has(job string) bool
+	Owns(job string) bool
+	Begin(job string) (fence ownership.Fence, holder string, ok bool)
+	End(job string, fence ownership.Fence)
+	Refused(job string, by ownership.RefusedError)
+	Publish(job string, fence ownership.Fence, seq uint64, data []byte)
+	Hear(func(Published))
+	Leave()
+	Idle() bool
+	Run(ctx context.Context)
+	String() string
+}
+
+// Published is what the owner of a job tells all members.
+type Published struct {
+	ownership.Owner
+	Seq  uint64              `json:"seq"`
+	Data jsoniter.RawMessage `json:"data"`
+}
+
 // sharedNews is what the reader publishes: changes, or the whole list.
 type sharedNews struct {
 	Whole   bool             `json:"whole,omitempty"`
@@ -29,7 +55,8 @@
 
 // SharedList is the list of engines as one coordinator reads it for all.
 type SharedList struct {
-	council *Council
+	fleet   Fleet
+	self    string // this coordinator's name
 	log     *slog.Logger
 	mu      sync.Mutex
 	view    map[string]journal.Server // by id, as this coordinator has it
@@ -43,16 +70,16 @@
 	give    func(whole bool, servers []journal.Server)
 }
 
-// NewSharedList returns a list that council's members share.
-func NewSharedList(council *Council, log *slog.Logger) *SharedList {
-	l := &SharedList{council: council, log: log, view: map[string]journal.Server{}, readAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
-	council.Heard = l.heard
+// NewSharedList returns a list that the fleet's members share.
+func NewSharedList(fleet Fleet, self string, log *slog.Logger) *SharedList {
+	l := &SharedList{fleet: fleet, self: self, log: log, view: map[string]journal.Server{}, readAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	fleet.Hear(l.heard)
 	return l
 }
 
 // Fed tells whether another coordinator reads for this one, by its word of just now.
 func (l *SharedList) Fed() bool {
-	if l == nil || l.council.Owns(ownership.JobJournal) {
+	if l == nil || l.fleet.Owns(ownership.JobJournal) {
 		return false
 	}
 	l.mu.Lock()
@@ -87,11 +114,11 @@
 }
 
 func (l *SharedList) publish(n sharedNews) {
-	fence, _, may := l.council.Begin(ownership.JobJournal)
+	fence, _, may := l.fleet.Begin(ownership.JobJournal)
 	if !may {
 		return
 	}
-	defer l.council.End(ownership.JobJournal, fence)
+	defer l.fleet.End(ownership.JobJournal, fence)
 	l.mu.Lock()
 	now := time.Now()
 	if fence != l.fence || now.Sub(l.wholeAt) >= sharedWhole {
@@ -109,13 +136,13 @@
 	seq := l.seq
 	l.mu.Unlock()
 	if raw, err := pagesJSON.Marshal(n); err == nil {
-		l.council.Publish(ownership.JobJournal, fence, seq, raw)
+		l.fleet.Publish(ownership.JobJournal, fence, seq, raw)
 	}
 }
 
 // heard follows what the reader publishes; its fence has been kept by then.
 func (l *SharedList) heard(p Published) {
-	if p.Job != ownership.JobJournal || p.Name == l.council.name {
+	if p.Job != ownership.JobJournal || p.Name == l.self {
 		return
 	}
 	var n sharedNews
