The record may deal out the fleet's jobs, by its own clock, with one suite for both dealers

internal/store/lease.go holds the row (renew, take where free, give back, raise past what a target has seen), internal/transport/leaserow drives it through the same member as the council, transport.Membership is what both share.

Measured: TestBackendsConform plays hand-over, death, a target that has seen more, and a dealer that is down, over SQLite, PostgreSQL, PostgreSQL whose every third answer is lost after its commit, and a council. Seen to fail with a row that can be stolen and with a count that is not raised.

--- a/internal/fleetconf/fleetconf.go
+++ b/internal/fleetconf/fleetconf.go
@@ -30,6 +30,7 @@
 	Schema       string   `json:"$schema"`
 	Installation string   `json:"installation"` // empty: off
 	Generation   uint64   `json:"generation"`   // grows with each change of the seats
+	By           string   `json:"by"`           // who deals out the jobs: "council", the usual, or "record"
 	Seats        []Seat   `json:"seats"`        // 1, 3 or 5; the first founds the council
 	Directory    string   `json:"directory"`    // where a seat keeps what it must not forget
 	Jobs         []string `json:"jobs"`         // that are done for the whole fleet; the rest each does for itself
@@ -38,6 +39,12 @@
 	Room         float64  `json:"room"`         // what this coordinator can take beside its own work; 0: 1, as all others
 }
 
+// Who deals out the jobs.
+const (
+	ByCouncil = "council" // seats that agree
+	ByRecord  = "record"  // a row of the REST record that all share, by the record's clock
+)
+
 // Fault is one thing wrong with the file: where (a JSON pointer), what, and how to mend it.
 type Fault struct {
 	Pointer string `json:"pointer"`
@@ -80,9 +87,17 @@
 		return l
 	}
 	n := len(c.Seats)
+	if c.By == ByRecord {
+		add(n > 0, "seats are named where the record deals out the jobs", "leave the seats out, or by", "/seats")
+		for i, j := range c.Jobs {
+			add(j == ownership.JobJournal, "it needs a way from its owner to all others, and the record is none", "let a council deal it out", "/jobs/%d", i)
+		}
+		return append(l, c.common()...)
+	}
+	add(c.By != "" && c.By != ByCouncil, fmt.Sprintf("%q", c.By), `"council" or "record"`, "/by")
 	add(n != 1 && n != 3 && n != 5, fmt.Sprintf("%d seats", n), "name 1, 3 or 5: an even council bears no more losses than one seat less", "/seats")
 	add(c.Generation == 0, "absent or 0", "begin with 1 and add 1 with each change of the seats", "/generation")
-	add(n > 0 && c.Directory == "", "absent", "name a directory that outlives a restart: a seat keeps its votes there", "/directory")
+	add(c.Directory == "", "absent", "name a directory that outlives a restart: a seat keeps its votes there", "/directory")
 	names, addrs := map[string]int{}, map[string]int{}
 	for i, s := range c.Seats {
 		add(s.Name == "", "absent", "name the coordinator, as its configuration does", "/seats/%d/name", i)
@@ -97,6 +112,16 @@
 		}
 		names[s.Name], addrs[s.Addr] = i, i
 	}
+	return append(l, c.common()...)
+}
+
+// common are the faults of what holds whoever deals out the jobs.
+func (c Config) common() (l []Fault) {
+	add := func(bad bool, problem, mend, pointer string, at ...any) {
+		if bad {
+			l = append(l, Fault{fmt.Sprintf(pointer, at...), problem, mend})
+		}
+	}
 	for i, j := range c.Jobs {
 		add(!slices.Contains(ownership.JobNames(), j), fmt.Sprintf("%q is no job", j),
 			"name one of "+strings.Join(ownership.JobNames(), ", "), "/jobs/%d", i)
--- a/internal/fleetconf/fleetconf_test.go
+++ b/internal/fleetconf/fleetconf_test.go
@@ -28,6 +28,11 @@
 		`{"installation":"x","generation":1,"directory":"d","lease_ms":10,` + seats + `}`:                                                                                     "/lease_ms",
 		`{"installation":"x","generation":1,"directory":"d","drift_bound":0.5,` + seats + `}`:                                                                                 "/drift_bound",
 		`{"installation":"x","generation":1,"directory":"d","room":-1,` + seats + `}`:                                                                                         "/room",
+		`{"installation":"x","generation":1,"directory":"d","by":"chance",` + seats + `}`:                                                                                     "/by",
+		`{"installation":"x","by":"record","jobs":["prune-record"]}`:                                                                                                          "",
+		`{"installation":"x","by":"record",` + seats + `}`:                                                                                                                    "/seats",
+		`{"installation":"x","by":"record","jobs":["read-journal"]}`:                                                                                                          "/jobs/0",
+		`{"installation":"x","by":"record","lease_ms":1}`:                                                                                                                     "/lease_ms",
 	} {
 		_, err := Parse([]byte(raw))
 		if pointer == "" {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -13,6 +13,7 @@
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/ownership"
 	"aniseloft/internal/transport"
+	"aniseloft/internal/transport/leaserow"
 )
 
 const (
@@ -45,7 +46,7 @@
 
 // startFleet opens this coordinator's part in the fleet, before anything that relies on it.
 func (p *Program) startFleet(c fleetconf.Config) error {
-	if !c.On() {
+	if !c.On() || c.By == fleetconf.ByRecord {
 		return nil
 	}
 	clock, err := fleetClock(os.Getenv(drillClock))
@@ -56,6 +57,19 @@
 	return err
 }
 
+// startRow has the record deal out the fleet's jobs, where the file says so.
+func (p *Program) startRow(ctx context.Context, c fleetconf.Config) error {
+	if !c.On() || c.By != fleetconf.ByRecord {
+		return nil
+	}
+	clock, err := fleetClock(os.Getenv(drillClock))
+	if err != nil {
+		return err
+	}
+	p.fleet, err = leaserow.New(ctx, c, p.conf.Name, p.store, clock, p.log)
+	return err
+}
+
 // runFleet takes part until ctx ends.
 func (p *Program) runFleet(ctx context.Context) {
 	if p.fleet != nil {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/logconf"
 	"aniseloft/internal/nodeconf"
 	"aniseloft/internal/ownership"
@@ -247,9 +248,11 @@
 	var ctx context.Context
 	ctx, p.stop = context.WithCancel(context.Background())
 	if restConf.Listen != "" {
-		if err := p.startRest(ctx, restConf, restClients); err != nil {
+		if err := p.startRest(ctx, restConf, restClients, fleetConf); err != nil {
 			return err
 		}
+	} else if fleetConf.By == fleetconf.ByRecord {
+		return fleetconf.Fault{Pointer: "/by", Problem: "there is no record", Mend: "name one in " + restconf.File + ", or let a council deal out the jobs"}
 	}
 	p.runFleet(ctx)
 	go p.core.Run(ctx)
@@ -276,13 +279,16 @@
 
 // startRest opens the record and the second front; what an earlier process
 // left unfinished has ended before any client can ask for it.
-func (p *Program) startRest(ctx context.Context, c restconf.Config, limit int) error {
+func (p *Program) startRest(ctx context.Context, c restconf.Config, limit int, fleet fleetconf.Config) error {
 	sctx, cancel := context.WithTimeout(ctx, storeStart)
 	defer cancel()
 	var err error
 	if p.store, err = store.Open(sctx, c.Store); err != nil {
 		return err
 	}
+	if err = p.startRow(sctx, fleet); err != nil {
+		return err
+	}
 	if p.spool, err = p.openSpool(c); err != nil {
 		return err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,6 +47,7 @@
 type Store struct {
 	db     *sql.DB
 	rebind func(string) string
+	now    string // the record's own clock, as SQL
 }
 
 const schema = `CREATE TABLE IF NOT EXISTS query (
@@ -68,7 +69,7 @@
 // URL, else a SQLite file. The SQL is the same but for the marks of arguments.
 func Open(ctx context.Context, name string) (*Store, error) {
 	driver, source := "sqlite", "file:"+name+"?_pragma=journal_mode(WAL)&_pragma=synchronous(FULL)&_pragma=busy_timeout(1000)"
-	rebind := strings.NewReplacer("$", "?").Replace
+	rebind, now := strings.NewReplacer("$", "?").Replace, sqliteNow
 	if strings.HasPrefix(name, "postgres://") || strings.HasPrefix(name, "postgresql://") {
 		u, err := url.Parse(name)
 		if err != nil {
@@ -78,14 +79,14 @@
 		args := u.Query()
 		args.Set("default_query_exec_mode", "simple_protocol")
 		u.RawQuery = args.Encode()
-		driver, source, rebind = "pgx", u.String(), func(q string) string { return q }
+		driver, source, rebind, now = "pgx", u.String(), func(q string) string { return q }, postgresNow
 	}
 	db, err := sql.Open(driver, source)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	db.SetMaxOpenConns(1) // one writer; its descriptors are budgeted
-	s := &Store{db: db, rebind: rebind}
+	s := &Store{db: db, rebind: rebind, now: now}
 	for _, statement := range []string{schema, fences} {
 		if _, err := db.ExecContext(ctx, statement); err != nil {
 			_ = db.Close()
--- a/internal/transport/council/council.go
+++ b/internal/transport/council/council.go
@@ -13,7 +13,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,20 +41,16 @@
 // Council is the driver of this coordinator's part in the fleet: its seat, if it has one, and its
 // membership. Every decision is the ownership package's.
 type Council struct {
-	conf         fleetconf.Config
+	*transport.Membership
 	name         string
 	installation uint64
-	clock        func() ownership.Millis
-	log          *slog.Logger
-	started      time.Time
 
-	mu      sync.Mutex // the member's
-	member  *ownership.Member
+	mu      sync.Mutex
+	conf    fleetconf.Config
 	finder  *ownership.Finder
 	to      *peer // to the seat that the finder points at
 	toSeat  string
 	waiting bool
-	soon    chan struct{}
 	give    func(transport.Published) // takes what an owner publishes; nil: nobody listens
 
 	changed chan struct{}          // there is a new file
@@ -71,7 +66,7 @@
 	callNo  uint64
 
 	counts struct {
-		beats, replies, agreed, published, followed, refused, strangers, lost, bytesOut, bytesIn, syncs atomic.Int64
+		beats, replies, agreed, published, followed, unfollowed, strangers, lost, bytesOut, bytesIn, syncs atomic.Int64
 	}
 }
 
@@ -85,20 +80,14 @@
 // New opens what the file asks of this coordinator. Clock is its own, which never steps
 // back; room is what it can take.
 func New(conf fleetconf.Config, name string, clock func() ownership.Millis, log *slog.Logger) (*Council, error) {
-	c := &Council{conf: conf, name: name, installation: fleet.Installation(conf.Installation), clock: clock, log: log,
-		soon: make(chan struct{}, 1), started: time.Now(), asked: map[string]*peer{}, calls: map[uint64]*peer{},
-		seats: map[string]*peer{}, due: map[string]time.Time{}, backs: map[string]time.Duration{},
-		changed: make(chan struct{}, 1), in: make(chan func(*seats.Seat), queueMost)}
-	room := conf.Room
-	if room == 0 {
-		room = 1
-	}
-	boot := rand.Uint64() >> 1
-	c.member = ownership.NewMember(ownership.Holder{Name: name, Boot: boot}, conf.Jobs, room, conf.Timing().Drift)
+	c := &Council{Membership: transport.NewMembership(name, conf.Jobs, conf.Room, conf.Timing().Drift, clock, log),
+		conf: conf, name: name, installation: fleet.Installation(conf.Installation),
+		asked: map[string]*peer{}, calls: map[uint64]*peer{}, seats: map[string]*peer{}, due: map[string]time.Time{},
+		backs: map[string]time.Duration{}, changed: make(chan struct{}, 1), in: make(chan func(*seats.Seat), queueMost)}
 	if err := c.readSeen(); err != nil {
 		return nil, err
 	}
-	c.finder = ownership.NewFinder(conf.Names(), int(boot%uint64(len(conf.Seats))), conf.Timing().Lease)
+	c.finder = c.newFinder(conf)
 	if conf.Addr(name) != "" {
 		if err := c.sit(); err != nil {
 			return nil, err
@@ -122,9 +111,8 @@
 	}
 	c.mu.Lock()
 	c.conf = conf
-	c.finder = ownership.NewFinder(conf.Names(), int(c.member.Self().Boot%uint64(len(conf.Seats))), conf.Timing().Lease)
+	c.finder = c.newFinder(conf)
 	c.mu.Unlock()
-	c.poke()
 	select {
 	case c.changed <- struct{}{}:
 	default:
@@ -132,6 +120,10 @@
 	return nil
 }
 
+func (c *Council) newFinder(conf fleetconf.Config) *ownership.Finder {
+	return ownership.NewFinder(conf.Names(), int(c.Self().Boot%uint64(len(conf.Seats))), conf.Timing().Lease)
+}
+
 // file is the file that is followed now.
 func (c *Council) file() fleetconf.Config {
 	c.mu.Lock()
@@ -175,7 +167,7 @@
 	}
 	listening := c.net != nil
 	if err := c.sit(); err != nil {
-		c.log.Error("council: the seat is left empty", "err", err)
+		c.Log.Error("council: the seat is left empty", "err", err)
 	} else if !listening {
 		go c.accept(ctx)
 	}
@@ -196,16 +188,16 @@
 		return fmt.Errorf("council: %s: %w; move it away: the fences that it held are then learned anew from the council", path, err)
 	}
 	for _, o := range seen {
-		c.member.Follow(o)
+		c.With(func(m *ownership.Member) { m.Follow(o) })
 	}
 	return nil
 }
 
-// keepSeen makes the newest fences durable; the caller holds mu.
-func (c *Council) keepSeen() error {
+// keepSeen makes the newest fences durable.
+func (c *Council) keepSeen(m *ownership.Member) error {
 	var seen []ownership.Owner
-	for _, job := range c.conf.Jobs {
-		if o := c.member.Newest(job); o.Fence > 0 {
+	for _, job := range ownership.JobNames() {
+		if o := m.Newest(job); o.Fence > 0 {
 			seen = append(seen, o)
 		}
 	}
@@ -237,84 +229,9 @@
 	all.Wait()
 }
 
-// Begin, End and Refused are the member's, for those who do a job's acts.
-func (c *Council) Begin(job string) (fence ownership.Fence, holder string, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	fence, ok = c.member.Begin(c.clock(), job)
-	c.events()
-	return fence, c.member.Self().String(), ok
-}
-
-// End ends an act that Begin let begin.
-func (c *Council) End(job string, fence ownership.Fence) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.member.End(c.clock(), job, fence)
-	c.events()
-}
-
-// Refused takes a target's word that it has seen a higher fence.
-func (c *Council) Refused(job string, by ownership.RefusedError) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts.refused.Add(1)
-	c.log.Warn("fleet act refused by its fence", "job", job, "fence", by.Fence, "seen", by.Highest)
-	c.member.Refused(job, by)
-	c.events()
-	c.poke()
-}
-
-// Owns tells whether this coordinator owns the job, and Has whether the fleet does it at all.
-func (c *Council) Owns(job string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, own := c.member.Owns(c.clock(), job)
-	c.events()
-	return own
-}
-
-// Has tells whether the job is the fleet's.
-func (c *Council) Has(job string) bool { return slices.Contains(c.conf.Jobs, job) }
-
-// Leave gives everything back; Idle tells whether that is done.
-func (c *Council) Leave() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.member.Leave(c.clock())
-	c.events()
-	c.poke()
-}
-
-// Idle tells whether nothing is owned or still to be given back.
-func (c *Council) Idle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.member.Idle()
-}
-
-func (c *Council) poke() {
-	c.finder.Soon(c.clock())
-	select {
-	case c.soon <- struct{}{}:
-	default:
-	}
-}
-
-// events logs what the member has to say; the caller holds mu.
-func (c *Council) events() {
-	for _, e := range c.member.Events {
-		c.log.Info("fleet job "+e.What, "job", e.Job, "fence", e.Fence, "holder", e.Who, "why", e.Why)
-		if e.What == "lost" {
-			c.poke()
-		}
-	}
-	c.member.Events = nil
-}
-
 // tick is how often the machines are given the time: twice in a step of theirs.
 func (c *Council) tick() time.Duration {
-	return time.Duration(c.conf.Timing().Tick / 2 * float64(time.Millisecond))
+	return time.Duration(c.file().Timing().Tick / 2 * float64(time.Millisecond))
 }
 
 // runMember asks the leader again and again, for as long as ctx lasts.
@@ -322,29 +239,31 @@
 	tick := time.NewTicker(c.tick())
 	defer tick.Stop()
 	for {
+		soon := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-		case <-c.soon:
+		case <-c.Soon:
+			soon = true
 		}
+		now := c.Clock()
 		c.mu.Lock()
-		now := c.clock()
-		seat, due := c.finder.Due(now)
-		var beat ownership.Beat
-		if due {
-			beat = c.member.Beat(now)
+		if soon {
+			c.finder.Soon(now)
 		}
-		c.events()
+		seat, due := c.finder.Due(now)
 		c.mu.Unlock()
 		if !due {
 			continue
 		}
+		var beat ownership.Beat
+		c.With(func(m *ownership.Member) { beat = m.Beat(now) })
 		c.counts.beats.Add(1)
 		if seat == c.name {
 			c.feed(func(s *seats.Seat) {
 				c.asked[beat.Holder.String()] = nil
-				s.Take(c.clock(), beat)
+				s.Take(c.Clock(), beat)
 			})
 			continue
 		}
@@ -376,7 +295,7 @@
 		c.waiting = false
 		if err == nil {
 			c.to, c.toSeat = c.serve(ctx, conn, c.fromLeader), seat
-			c.finder.Soon(c.clock())
+			c.finder.Soon(c.Clock())
 		}
 		c.mu.Unlock()
 	}()
@@ -399,22 +318,25 @@
 }
 
 func (c *Council) take(r ownership.Reply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r.Holder != c.member.Self() {
+	if r.Holder != c.Self() {
 		return
 	}
 	c.counts.replies.Add(1)
-	now := c.clock()
-	was := c.finder.At()
-	c.finder.Answered(now, r)
 	if r.Error != "" {
-		c.log.Warn("fleet: the leader refuses this coordinator", "says", r.Error)
+		c.Log.Warn("fleet: the leader refuses this coordinator", "says", r.Error)
 	}
-	c.member.Take(now, r)
-	c.events()
-	if c.finder.At() != was {
-		c.poke()
+	now := c.Clock()
+	c.mu.Lock()
+	was := c.finder.At()
+	c.finder.Answered(now, r)
+	moved := c.finder.At() != was
+	c.mu.Unlock()
+	c.With(func(m *ownership.Member) { m.Take(now, r) })
+	if moved {
+		select {
+		case c.Soon <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -427,23 +349,29 @@
 	if !c.Has(p.Job) {
 		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	was := c.member.Newest(p.Job)
-	if !c.member.Follow(p.Owner) {
-		c.counts.refused.Add(1)
-		c.log.Warn("fleet: an older owner is not followed", "job", p.Job, "owner", p.Name, "fence", p.Fence, "seen", was.Fence)
-		return nil
-	}
-	if p.Fence > was.Fence || p.Name != was.Name {
-		if err := c.keepSeen(); err != nil {
-			c.log.Error("fleet: not followed: its fence can't be kept", "err", err)
-			return nil
+	var err error
+	var was ownership.Owner
+	follow := false
+	c.With(func(m *ownership.Member) {
+		was = m.Newest(p.Job)
+		if follow = m.Follow(p.Owner); follow && (p.Fence > was.Fence || p.Name != was.Name) {
+			err = c.keepSeen(m)
+		}
+	})
+	switch {
+	case err != nil:
+		c.Log.Error("fleet: not followed: its fence can't be kept", "err", err)
+	case !follow:
+		c.counts.unfollowed.Add(1)
+		c.Log.Warn("fleet: an older owner is not followed", "job", p.Job, "owner", p.Name, "fence", p.Fence, "seen", was.Fence)
+	default:
+		c.counts.followed.Add(1)
+		c.mu.Lock()
+		give := c.give
+		c.mu.Unlock()
+		if give != nil {
+			give(p)
 		}
-	}
-	c.counts.followed.Add(1)
-	if c.give != nil {
-		c.give(p)
 	}
 	return nil
 }
@@ -509,7 +437,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			f = func(s *seats.Seat) { s.Tick(c.clock()) }
+			f = func(s *seats.Seat) { s.Tick(c.Clock()) }
 		case <-c.changed:
 			c.reseat(ctx)
 			continue
@@ -526,26 +454,26 @@
 // carryOut does what the seat wants done.
 func (c *Council) carryOut(ctx context.Context, o seats.Out) {
 	for _, e := range o.Events {
-		c.log.Info("council: "+e.What, "job", e.Job, "fence", e.Fence, "who", e.Who, "why", e.Why)
+		c.Log.Info("council: "+e.What, "job", e.Job, "fence", e.Fence, "who", e.Who, "why", e.Why)
 	}
 	if o.Save != nil {
 		c.counts.syncs.Add(1)
 		if err := c.disk.save(o.Save, o.Compact); err != nil {
-			c.log.Error("council: its disk fails: the seat is left empty until a restart, the coordinator serves on", "err", err)
+			c.Log.Error("council: its disk fails: the seat is left empty until a restart, the coordinator serves on", "err", err)
 			c.end()
 			return
 		}
 	}
 	if o.Lost {
-		c.log.Error("council: the seat's disk holds less than it has acknowledged; it is emptied and the seat taken in anew", "path", c.disk.path)
+		c.Log.Error("council: the seat's disk holds less than it has acknowledged; it is emptied and the seat taken in anew", "path", c.disk.path)
 		if err := errors.Join(c.disk.drop(), c.sit()); err != nil {
-			c.log.Error("council: the seat is left empty", "err", err)
+			c.Log.Error("council: the seat is left empty", "err", err)
 			c.seat, c.disk = nil, nil
 		}
 		return
 	}
 	if o.Broken != "" {
-		c.log.Error("council: the seat is left empty until a restart, the coordinator serves on", "why", o.Broken)
+		c.Log.Error("council: the seat is left empty until a restart, the coordinator serves on", "why", o.Broken)
 		c.end()
 		return
 	}
@@ -643,14 +571,14 @@
 		if err := f.Decode(&h); err != nil {
 			return err
 		}
-		c.feed(func(s *seats.Seat) { s.Hear(c.clock(), h) })
+		c.feed(func(s *seats.Seat) { s.Hear(c.Clock(), h) })
 	case fleet.Agree:
 		m, err := seats.DecodeMessage(f.Payload)
 		if err != nil {
 			return err
 		}
 		c.counts.agreed.Add(1)
-		c.feed(func(s *seats.Seat) { s.Step(c.clock(), f.Council, m) })
+		c.feed(func(s *seats.Seat) { s.Step(c.Clock(), f.Council, m) })
 	case fleet.Beat:
 		var b ownership.Beat
 		if err := f.Decode(&b); err != nil {
@@ -658,7 +586,7 @@
 		}
 		c.feed(func(s *seats.Seat) {
 			c.asked[b.Holder.String()] = from
-			s.Take(c.clock(), b)
+			s.Take(c.Clock(), b)
 		})
 	case fleet.Call:
 		var call ownership.Call
@@ -669,7 +597,7 @@
 			c.callNo++
 			call.Seq = c.callNo
 			c.calls[call.Seq] = from
-			s.Ask(c.clock(), call)
+			s.Ask(c.Clock(), call)
 		})
 	case fleet.Publish:
 		raw := slices.Clone(f.Payload)
@@ -743,7 +671,7 @@
 			}
 			if ferr != nil {
 				if c.counts.strangers.Add(1) == 1 || !errors.Is(ferr, fleet.ErrStranger) {
-					c.log.Warn("fleet: a connection is closed", "from", conn.RemoteAddr().String(), "why", ferr)
+					c.Log.Warn("fleet: a connection is closed", "from", conn.RemoteAddr().String(), "why", ferr)
 				}
 				return
 			}
@@ -758,15 +686,7 @@
 // String is the line of counters.
 func (c *Council) String() string {
 	n := &c.counts
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var owned []string
-	for _, job := range c.conf.Jobs {
-		if f, own := c.member.Owns(c.clock(), job); own {
-			owned = append(owned, fmt.Sprintf("%s:%d", job, f))
-		}
-	}
-	return fmt.Sprintf("counters fleet beats=%d replies=%d agreed=%d published=%d followed=%d refused=%d strangers=%d lost=%d sent_bytes=%d read_bytes=%d syncs=%d owns=%s\n",
-		n.beats.Load(), n.replies.Load(), n.agreed.Load(), n.published.Load(), n.followed.Load(), n.refused.Load(), n.strangers.Load(), n.lost.Load(),
-		n.bytesOut.Load(), n.bytesIn.Load(), n.syncs.Load(), strings.Join(owned, ","))
+	return fmt.Sprintf("counters fleet beats=%d replies=%d agreed=%d published=%d followed=%d unfollowed=%d strangers=%d lost=%d sent_bytes=%d read_bytes=%d syncs=%d %s\n",
+		n.beats.Load(), n.replies.Load(), n.agreed.Load(), n.published.Load(), n.followed.Load(), n.unfollowed.Load(), n.strangers.Load(), n.lost.Load(),
+		n.bytesOut.Load(), n.bytesIn.Load(), n.syncs.Load(), c.Membership)
 }
