--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -164,15 +164,19 @@
 	l := newLink(c, pageBuffer)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer func() { stop(); _ = c.Close() }()
+	// Those that lost the service together come back together; a first wait of each one's own keeps their
+	// polls from reaching it in step ever after.
+	wait := 1 + rand.IntN(journalWait)
 	for poll := journal.NewPoll(); ; heard = true {
 		if r.Shared.Fed() {
 			return true, errFed
 		}
 		r.Calls.Add(1)
-		if err := l.write(ctx, journal.Ask(addr, r.tail, journalWait), time.Now().Add(journalSlack)); err != nil {
+		if err := l.write(ctx, journal.Ask(addr, r.tail, wait), time.Now().Add(journalSlack)); err != nil {
 			return heard, err
 		}
-		deadline := time.Now().Add(journalWait*time.Millisecond + journalSlack)
+		deadline := time.Now().Add(time.Duration(wait)*time.Millisecond + journalSlack)
+		wait = journalWait
 		var batch *journal.Batch
 		keep := false
 		for batch == nil {
--- /dev/null
+++ b/internal/transport/roster_test.go
@@ -0,0 +1,182 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/decide"
+	"aniseloft/internal/ownership"
+	"aniseloft/internal/protocol/journal"
+	"aniseloft/internal/routing"
+)
+
+// counted is a journal service that counts connections and calls, by 100 ms, and can fall over.
+type counted struct {
+	mu     sync.Mutex
+	addr   string
+	start  time.Time
+	dials  map[int]int
+	calls  map[int]int
+	broken bool // it takes connections and ends them
+	held   bool // it takes calls and says nothing
+	conns  map[net.Conn]bool
+}
+
+func (c *counted) book(m map[int]int) {
+	m[int(time.Since(c.start)/(100*time.Millisecond))]++
+}
+
+func countedJournal(t *testing.T) *counted {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := &counted{addr: l.Addr().String(), start: time.Now(), dials: map[int]int{}, calls: map[int]int{}, conns: map[net.Conn]bool{}}
+	stop := make(chan struct{})
+	srv := &http.Server{ConnState: func(conn net.Conn, s http.ConnState) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		switch s {
+		case http.StateNew:
+			c.conns[conn] = true
+			if c.book(c.dials); c.broken {
+				_ = conn.Close()
+			}
+		case http.StateClosed:
+			delete(c.conns, conn)
+		}
+	}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		c.book(c.calls)
+		held := c.held
+		wait, _ := strconv.Atoi(r.URL.Query().Get("max_wait"))
+		c.mu.Unlock()
+		if held {
+			<-r.Context().Done()
+			return
+		}
+		select {
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		case <-stop:
+		}
+		_, _ = io.WriteString(w, `{"pos":0,"entries":[]}`)
+	})}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { close(stop); _ = srv.Close() })
+	return c
+}
+
+func (c *counted) set(broken, held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken, c.held = broken, held
+	for conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// between sums counts over a span of the test, and gives the most in 100 ms.
+func (c *counted) between(m map[int]int, from, to time.Time) (sum, most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at, n := range m {
+		begin := c.start.Add(time.Duration(at) * 100 * time.Millisecond)
+		if !begin.Before(from) && begin.Before(to) {
+			sum, most = sum+n, max(most, n)
+		}
+	}
+	return sum, most
+}
+
+// What 80 coordinators ask of the journal service adds up to what each may ask alone: one long poll each while it is
+// well, and while it is not no more dials than the backoff's least waits allow, spread rather than in step.
+func TestEightyRostersAddUp(t *testing.T) {
+	const n = 80
+	c := countedJournal(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	log := slog.New(slog.DiscardHandler)
+	for range n {
+		core, err := routing.NewCore(decide.Settings{Gateways: 1, Tick: 5, MaxAttempts: 1, Kinds: []decide.Kind{{Cores: 1}},
+			Classes: []decide.Class{{Aim: 100, Deadline: 1000, Threads: 1}}}, 1, nil, log, 1<<20)
+		require.NoError(t, err)
+		all.Go(func() { core.Run(ctx) })
+		all.Go(func() { NewRoster(c.addr, core, log).Run(ctx) })
+	}
+	defer func() { cancel(); all.Wait() }()
+	asked := func() bool { sum, _ := c.between(c.calls, c.start, time.Now()); return sum >= n }
+	require.Eventually(t, asked, 20*time.Second, 10*time.Millisecond)
+	within := func(what string, m map[int]int, span time.Duration, most int) (peak int) {
+		from := time.Now()
+		time.Sleep(span)
+		var sum int
+		sum, peak = c.between(m, from, time.Now())
+		// A machine that stands still for a while lets what was due come at once; the time that passed bounds it yet.
+		bound := float64(most) * float64(time.Since(from)) / float64(span)
+		require.LessOrEqual(t, float64(sum), bound, what)
+		t.Logf("%s: %d in %v, at most %.0f; %d in the worst 100 ms", what, sum, time.Since(from).Round(time.Millisecond), bound, peak)
+		return peak
+	}
+	// They began in one instant, as after a common fall; an even spread is 8 in 100 ms.
+	require.Less(t, within("calls while it is well", c.calls, 4*time.Second, n*5), n/2, "the polls are in step")
+	within("dials while it is well", c.dials, time.Second, n/10)
+	c.set(true, false)
+	// Each waits half of its backoff at least: 25, 50, 100 and 200 ms, and 250 ms from then on.
+	within("dials while it ends connections", c.dials, 2*time.Second, n*(4+2000/250+1))
+	c.set(false, true)
+	time.Sleep(time.Second)
+	// A call that nothing comes of ends after its wait and slack.
+	within("calls while it says nothing", c.calls, 2*time.Second, n*(1+2000/(journalWait+int(journalSlack/time.Millisecond))+1))
+}
+
+// nobody owns nothing.
+type nobody struct{ Fleet }
+
+func (nobody) Begin(string) (ownership.Fence, string, bool) { return 0, "", false }
+
+// A whole list that leaves engines out, news out of order, and lines that can't be read: the published list is merged as
+// the journal service's own would be.
+func TestPublishedListsMerge(t *testing.T) {
+	l := &SharedList{view: map[string]journal.Server{}, readAt: map[string]time.Time{}, fleet: nobody{}, self: "n1", log: slog.New(slog.DiscardHandler)}
+	var given []string
+	l.give = func(_ bool, servers []journal.Server) {
+		for _, s := range servers {
+			given = append(given, s.ID+" "+s.State)
+		}
+	}
+	say := func(fence, seq int, data string) string {
+		given = nil
+		raw := fmt.Sprintf(`{"job":"read-journal","fence":%d,"name":"n2","seq":%d,"data":%s}`, fence, seq, data)
+		var p Published
+		require.NoError(t, pagesJSON.UnmarshalFromString(raw, &p))
+		l.heard(p)
+		return strings.Join(given, ", ")
+	}
+	require.Equal(t, "a active", say(1, 5, `{"servers":[{"id":"a","state":"active"}]}`))
+	require.True(t, l.gap, "what came before is not known: it is no feed yet")
+	require.Equal(t, "b active", say(1, 6, `{"whole":true,"servers":[{"id":"a","state":"active"},{"id":"b","state":"active"}]}`))
+	require.False(t, l.gap)
+	require.Equal(t, "", say(1, 6, `{"servers":[{"id":"a","state":"left"}]}`), "repeated")
+	require.Equal(t, "", say(1, 4, `{"servers":[{"id":"a","state":"left"}]}`), "overtaken")
+	require.Equal(t, "a leaving", say(1, 7, `{"servers":[{"id":"a","state":"leaving"}]}`))
+	require.Equal(t, "", say(1, 9, `{}`))
+	require.True(t, l.gap, "a word was missed: a drain may have been in it")
+	require.Equal(t, "a left", say(1, 10, `{"whole":true,"servers":[{"id":"b","state":"active"}]}`))
+	require.False(t, l.gap)
+	// What it has read itself just now stands against a list that was on its way.
+	l.Read(false, []journal.Server{{ID: "b", State: "leaving"}})
+	require.Equal(t, "", say(1, 11, `{"whole":true,"servers":[{"id":"b","state":"active"}]}`))
+	require.Equal(t, "b active", say(1, 12, `{"servers":[{"id":"b","state":"active","started_ms":5}]}`), "a new start is news")
+	require.Equal(t, "", say(1, 13, `{"servers":"spoilt"}`))
+}
