A cold engine is not taken to hold the fleet's mean load

Cause: room() counts half of the fleet's mean told load at each engine of which nothing is known, so that a jammed one that answers seldom is no way around the jam; engines that have just begun are unknown too.

Change: the mean does not count at cold engines; the cold rule bounds them.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -250,7 +250,7 @@
 	most, share := e.cores*[2]float64{shortThreads, longThreads}[k], 1/float64(g.set.Gateways)
 	if g.thin() {
 		there, used := math.Exp(e.strain(g))*e.cores*bestThreads, g.toldMem*meanPart
-		if g.told > 0 {
+		if g.told > 0 && !g.cold(e) { // what has just begun holds nothing of the others' load
 			there = e.cores * g.told * g.meanThreads * meanPart
 		}
 		if e.known(g) {
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -905,6 +905,38 @@
 	}
 }
 
+// vast-zone: a hall came back cold while the other one was jammed. Nothing was known of its engines, so half of the jammed
+// fleet's mean load counted at each, and 15 of 30 engines got next to nothing while queries were refused. An engine that has just
+// begun holds nothing of that load; what it may get is the cold rule's to bound.
+func TestColdEnginesAreNotTakenForJammed(t *testing.T) {
+	set := plainSettings()
+	set.Gateways, set.MayTell = 300, true
+	set.Rules.FallMultiple = 2000 // its budget holds a query of every gateway
+	s := newScript(t, set, 10)
+	fresh := s.g.order[0].ID
+	s.at(900, ListChanged{Entries: []EngineEntry{{ID: fresh, State: EngineReady, Started: 900}}})
+	sent := 0
+	for i := range 200 {
+		now, id := Millis(1000+i*50), RequestID(fmt.Sprint(i))
+		var lines []peerLine
+		for _, e := range s.g.order[1:] {
+			lines = append(lines, peerLine{tagOf(e.ID), []float64{0, 1 + 7*8, 0}})
+		}
+		s.at(now, PeerHeard{From: 1, Data: encodePeer(peerReports, lines, tellMost)})
+		s.g.meanThreads = 2
+		s.at(now, Arrived{ID: id, Group: uint64(i), Left: 3000})
+		if e := s.sentTo(id); e != 0 {
+			s.at(now, AttemptEnded{ID: id, Engine: e, Outcome: OutcomeNotSent, Closed: true})
+			if e == fresh {
+				sent++
+			}
+		}
+	}
+	if sent < 20 {
+		t.Fatalf("%d of 200 queries to the one engine that is empty", sent)
+	}
+}
+
 // TestPagingOutlastsItsReport (colombo-bookings-later big-2): an engine that pages
 // answers seldom; its last word on memory counts on, fading, where one of queries in
 // flight is too old to use.
