A start waits for another coordinator that makes the shared record, rather than end

Seen: of four drills with 12 coordinators on one new SQLite record one ended at its start: 'store: database is locked (5) (SQLITE_BUSY)'. Cause: store.Open; the switch to the write-ahead log and the first statements are not waited for beyond the connection's own busy timeout.

Change: Open tries again until its time for the start is up.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -373,7 +373,7 @@
 }
 
 func (p *Program) printCounters() {
-	text := p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall()
+	text := p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall() + fmt.Sprintf("counters journal calls=%d\n", p.roster.Calls.Load())
 	if p.peers != nil {
 		text += p.peers.String()
 	}
@@ -381,7 +381,7 @@
 		text += p.restFront.String()
 	}
 	if p.fleet != nil {
-		text += p.fleet.String() + fmt.Sprintf("counters journal calls=%d\n", p.roster.Calls.Load())
+		text += p.fleet.String()
 	}
 	_, _ = io.WriteString(p.errOut, text)
 }
--- a/internal/store/fence_test.go
+++ b/internal/store/fence_test.go
@@ -85,6 +85,20 @@
 	require.False(t, newest.IsZero())
 }
 
+// Coordinators that start together make one file between them: who finds it held, for longer than a statement waits, tries
+// again rather than end its start.
+func TestAStartWaitsForWhoMakesTheRecord(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "record.db")
+	first, err := Open(t.Context(), path)
+	require.NoError(t, err)
+	_, err = first.db.Exec("BEGIN EXCLUSIVE")
+	require.NoError(t, err)
+	time.AfterFunc(1500*time.Millisecond, func() { _, _ = first.db.Exec("COMMIT"); _ = first.Close() })
+	second, err := Open(t.Context(), path)
+	require.NoError(t, err)
+	require.NoError(t, second.Close())
+}
+
 // A record of before coordinators shared one is taken over, and a restart ends only its own queries.
 func TestOldRecordsAndOthersQueries(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "record.db")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,23 +87,52 @@
 	}
 	db.SetMaxOpenConns(1) // one writer; its descriptors are budgeted
 	s := &Store{db: db, rebind: rebind, now: now}
-	for _, statement := range []string{schema, fences} {
-		if _, err := db.ExecContext(ctx, statement); err != nil {
+	for err = s.prepare(ctx); isBusy(err); err = s.prepare(ctx) {
+		select { // several coordinators make one file at once: the switch to its journal waits for nobody by itself
+		case <-ctx.Done():
 			_ = db.Close()
-			return nil, fmt.Errorf("store: %w", err)
+			return nil, err
+		case <-time.After(busyRest):
 		}
 	}
-	if rows, err := db.QueryContext(ctx, "SELECT node FROM query LIMIT 1"); err != nil {
-		if _, err := db.ExecContext(ctx, addNode); err != nil {
-			_ = db.Close()
-			return nil, fmt.Errorf("store: %w", err)
-		}
-	} else {
-		_ = rows.Close()
+	if err != nil {
+		_ = db.Close()
+		return nil, err
 	}
 	return s, nil
 }
 
+// busyRest is how long a start waits before it tries a file again that another one is making.
+const busyRest = 20 * time.Millisecond
+
+// sqliteBusy is SQLite's code for a file that another connection holds.
+const sqliteBusy = 5
+
+func isBusy(err error) bool {
+	var coded interface{ Code() int }
+	return errors.As(err, &coded) && coded.Code()&0xff == sqliteBusy
+}
+
+// prepare makes what the record lacks.
+func (s *Store) prepare(ctx context.Context) error {
+	for _, statement := range []string{schema, fences} {
+		if _, err := s.db.ExecContext(ctx, statement); err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+	}
+	rows, err := s.db.QueryContext(ctx, "SELECT node FROM query LIMIT 1")
+	if err == nil {
+		return rows.Close()
+	}
+	if isBusy(err) {
+		return err
+	}
+	if _, err := s.db.ExecContext(ctx, addNode); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
 // Close closes the record.
 func (s *Store) Close() error { return s.db.Close() }
 
