Overdue is what is out longer than any sample counts for, not half of that

Where traffic is thin one overdue attempt puts an engine on trial, and with estimates that spread by 0.9 one query in twenty takes four times what was expected of it at engines that are well.

Change: checkSilence takes outlierCap, the multiple past which no sample counts, and overdueRatio is gone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,6 @@
 	kneeThreads   = 1.75  // threads a core past which engines do less: the middle of what is told
 	busyStretch   = 3.5   // latency over its best that counts as pressure: twice the knee's
 	bestThreads   = 0.75  // threads a core that answers at their best time tell of
-	overdueRatio  = 4.0   // an attempt out this many times its expected time is overdue
 	noteMisses    = 1.6   // periods without a due note that count as silence
 	runawayRatio  = 5.0   // a pace this many times slower than expected is a bad plan
 	ejectAfter    = 2     // failures in a row that eject
@@ -32,7 +31,7 @@
 	forgetRate    = 1e-4  // a best is forgotten this slowly: long overload must not pass for normal
 	stretchRate   = 0.1   // weight of one sample in latency evidence
 	poolSamples   = 4.0   // of the fleet's evidence that fill up an engine's own
-	outlierCap    = 8.0   // samples count as at most this many times the mean
+	outlierCap    = 8.0   // samples count as at most this many times the mean: out for longer is overdue
 	coldSafety    = 0.5   // share of the fall-over budget used: any span meets two turns
 	usableCores   = 0.85  // capacity is reached with cores this busy
 	graceTicks    = 10.0  // housekeeping period, in ticks of the site
@@ -874,7 +873,7 @@
 	for _, r := range attemptsOf(e) {
 		quiet := g.now - max(r.lifeAt, g.wokeAt)
 		missed := quiet > noteMisses*g.set.ProgressEvery
-		overdue := quiet > overdueRatio*g.unloaded(r)*max(1, math.Exp(e.strain(g)))
+		overdue := quiet > outlierCap*g.unloaded(r)*max(1, math.Exp(e.strain(g)))
 		if !missed || g.set.ProgressEvery == 0 && !overdue {
 			continue
 		}
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -1146,6 +1146,27 @@
 	}
 }
 
+// vast-join, vast-zone: where traffic is thin one overdue attempt puts an engine on trial, and estimates are rough: at four
+// times what was expected, one query in twenty did so at engines that were well. Overdue is what no answer would count as.
+func TestALongQueryPutsNoEngineOnTrial(t *testing.T) {
+	set := plainSettings()
+	set.Gateways = 80
+	s := newScript(t, set, 10)
+	now := s.teach(10, 40, 5, 0, 50)
+	s.at(now, Arrived{ID: "long", Group: 3, Left: 3000})
+	e := s.sentTo("long")
+	for begin := now; now < begin+600; now += 50 {
+		s.at(now, TimerFired{"tick"})
+		switch out := s.g.engines[e].onTrial; {
+		case out && now < begin+300:
+			t.Fatalf("on trial after %.0f ms of 50", now-begin)
+		case out:
+			return
+		}
+	}
+	t.Fatal("not on trial after 600 ms of 50")
+}
+
 // Loads as dear as half the budget left one gateway at a time to a cold engine, which sees two or three reports
 // in its turn: reports are what most of the budget is for, and a turn has as many gateways as it holds of them.
 func TestATurnHasAsManyGatewaysAsItHoldsReports(t *testing.T) {
