--- a/internal/ctl/drill.go
+++ b/internal/ctl/drill.go
@@ -87,6 +87,7 @@
 	var o struct {
 		seeds, first     uint64
 		virtual, off     bool
+		debug            bool
 		asJSON           bool
 		without          []string
 		program, out, on string
@@ -125,13 +126,14 @@
 			if without != (drill.Without{}) {
 				return usage(errors.New("--without goes with --virtual: a real process keeps its guards"))
 			}
-			return realPlays(c, d, o.first, o.seeds, o.on, o.program, o.out, o.off, o.asJSON)
+			return realPlays(c, d, o.first, o.seeds, o.on, o.out, drill.RealOptions{Coordinator: o.program, Off: o.off, Debug: o.debug}, o.asJSON)
 		}}
 	f := c.Flags()
 	f.Uint64Var(&o.first, "seed", 1, "the first seed")
 	f.Uint64Var(&o.seeds, "seeds", 1, "how many seeds, one after another")
 	f.BoolVar(&o.virtual, "virtual", false, "in virtual time")
 	f.BoolVar(&o.off, "off", false, "nothing is done together: each coordinator for itself, as a comparison")
+	f.BoolVar(&o.debug, "debug", false, "coordinators log each request and each line of the list, for aniseloftctl fleet logs")
 	f.StringSliceVar(&o.without, "without", nil, "guards to take out, in virtual time: fence, asked, vote, drift")
 	f.StringVar(&o.program, "coordinator", filepath.Join("bin", "aniseloft"), "the coordinator's program")
 	f.StringVar(&o.out, "out", "", "directory for logs and disks")
@@ -196,7 +198,7 @@
 	}
 }
 
-func realPlays(c *cobra.Command, d *drill.Drill, first, seeds uint64, on, program, out string, off, asJSON bool) error {
+func realPlays(c *cobra.Command, d *drill.Drill, first, seeds uint64, on, out string, opt drill.RealOptions, asJSON bool) error {
 	if d.Scenario != "" {
 		on = d.Scenario
 	}
@@ -204,25 +206,25 @@
 	if err != nil {
 		return usage(err)
 	}
-	if program, err = filepath.Abs(program); err != nil {
+	if opt.Coordinator, err = filepath.Abs(opt.Coordinator); err != nil {
 		return usage(err)
 	}
-	if _, err := os.Stat(program); err != nil {
+	if _, err := os.Stat(opt.Coordinator); err != nil {
 		return usage(fmt.Errorf("--coordinator: %w; build it, or name it", err))
 	}
 	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	broken := 0
 	for seed := first; seed < first+seeds; seed++ {
-		dir := ""
+		opt.Seed, opt.Scenario = seed, s
 		if out != "" {
-			if dir, err = filepath.Abs(filepath.Join(out, fmt.Sprintf("%s-%d", d.Name, seed))); err != nil {
+			if opt.Directory, err = filepath.Abs(filepath.Join(out, fmt.Sprintf("%s-%d", d.Name, seed))); err != nil {
 				return usage(err)
 			}
 		}
 		bar := progress(c, 100, d.Name)
-		p, err := drill.Real(ctx, d, drill.RealOptions{Seed: seed, Coordinator: program, Scenario: s, Directory: dir, Off: off,
-			Progress: func(now, end float64) { _ = bar.Set(int(100 * now / end)) }})
+		opt.Progress = func(now, end float64) { _ = bar.Set(int(100 * now / end)) }
+		p, err := drill.Real(ctx, d, opt)
 		if err != nil {
 			return fmt.Errorf("drill %s, seed %d: %w", d.Name, seed, err)
 		}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -43,6 +43,12 @@
 	DiskRolledBack = "rolled_back" // to what it held a while before
 )
 
+// What else a member can be cut off from, with real processes.
+const (
+	ToJournal = "journal"
+	ToEngines = "engines"
+)
+
 // Ways of a cut.
 const (
 	WayBoth = "both"
@@ -101,7 +107,7 @@
 		at := fmt.Sprintf("/faults/%d", i)
 		add(f.AtMS > d.DurationMS, at+"/at_ms", "after the drill's end", "let it begin before duration_ms")
 		add(!d.knows(f.Who), at+"/who", fmt.Sprintf("%q is nobody here", f.Who), "name n0 and so on, leader, owner, seat or any")
-		add(f.To != "" && !d.knows(f.To), at+"/to", fmt.Sprintf("%q is nobody here", f.To), "name n0 and so on, leader, owner, seat or any")
+		add(f.To != "" && f.To != ToJournal && f.To != ToEngines && !d.knows(f.To), at+"/to", fmt.Sprintf("%q is nobody here", f.To), "name n0 and so on, leader, owner, seat, any, journal or engines")
 		add(f.Kind == Resize && f.Count > d.Members, at+"/count", "more seats than members", "the council is some of the members")
 	}
 	if len(faults) > 0 {
--- a/internal/drill/real.go
+++ b/internal/drill/real.go
@@ -35,6 +35,7 @@
 	Scenario    *scenario.Scenario // of engines and clients
 	Directory   string             // where logs and disks are kept; empty: gone after the drill
 	Off         bool               // the fleet's file switches nothing on, as a comparison
+	Debug       bool               // coordinators log each request and each line of the list
 	Progress    func(now, end float64)
 }
 
@@ -67,8 +68,9 @@
 	seats  []string         // their addresses, by member
 	rest   []string
 	mu     sync.Mutex
-	relays map[[2]int]*Relay // from one member to another's seat
-	ways   []*Relay          // to the journal service
+	relays map[[2]int]*Relay     // from one member to another's seat
+	ways   map[wayKey]*Relay     // from a member to the journal service and to engines
+	tells  map[[2]int]*Datagrams // between two members, the lower number first
 	logs   []*logFile
 	begun  time.Time
 	said   []string
@@ -76,6 +78,12 @@
 	busy   map[int]bool // in a kill or stop
 }
 
+// wayKey names a way from a member to what is no coordinator.
+type wayKey struct {
+	n        int
+	to, addr string
+}
+
 type cause struct {
 	at   time.Time
 	kind string
@@ -98,7 +106,7 @@
 
 // Real plays a drill once with real processes on loopback.
 func Real(ctx context.Context, d *Drill, opt RealOptions) (*RealPlay, error) {
-	r := &real{d: d, opt: opt, rng: des.Stream(opt.Seed, "drill"), relays: map[[2]int]*Relay{}, busy: map[int]bool{}, dir: opt.Directory}
+	r := &real{d: d, opt: opt, rng: des.Stream(opt.Seed, "drill"), relays: map[[2]int]*Relay{}, ways: map[wayKey]*Relay{}, tells: map[[2]int]*Datagrams{}, busy: map[int]bool{}, dir: opt.Directory}
 	if r.dir == "" {
 		var err error
 		if r.dir, err = os.MkdirTemp("", "drill-"); err != nil {
@@ -113,7 +121,7 @@
 	s := *opt.Scenario
 	s.DurationMS, s.Coordinators.Count = d.DurationMS, d.Members
 	rep, err := live.Run(ctx, &s, live.Options{Seed: opt.Seed, Coordinator: opt.Coordinator, Log: io.Discard, Progress: opt.Progress,
-		Home: func(n int) (string, []string, io.Writer) { return r.home(n), r.env(n), r.logs[n] }, Way: r.way,
+		Home: func(n int) (string, []string, io.Writer) { return r.home(n), r.env(n), r.logs[n] }, Way: r.way, PeerWay: r.peerWay,
 		Rig: func(_ context.Context, rig *live.Rig) { r.begin(rig) }})
 	if err != nil {
 		return nil, fmt.Errorf("%w\n%s", err, r.tail())
@@ -197,7 +205,11 @@
 		fleet = fleetconf.Config{}
 	}
 	rest := map[string]any{"listen": r.rest[n], "store": filepath.Join(r.dir, "record.db"), "keep_seconds": 60, "purge_every_ms": purgeEach}
-	for name, v := range map[string]any{"fleet.json": fleet, "rest.json": rest} {
+	files := map[string]any{"fleet.json": fleet, "rest.json": rest}
+	if r.opt.Debug {
+		files["log.json"] = map[string]any{"level": "debug"}
+	}
+	for name, v := range files {
 		raw, err := json.MarshalIndent(v, "", " ")
 		if err != nil {
 			return fmt.Errorf("drill: %w", err)
@@ -230,16 +242,51 @@
 	return l
 }
 
-// way is how a member reaches the journal service.
-func (r *real) way(_ int, addr string) (string, error) {
+// mostWays bounds the relays to engines: with more members and engines their ways are straight.
+const mostWays = 256
+
+// way is how a member reaches the journal service and engines.
+func (r *real) way(n int, to, addr string) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := wayKey{n, to, addr}
+	if relay := r.ways[key]; relay != nil {
+		return relay.Addr(), nil
+	}
+	if to == live.ToEngine && (addr == "" || len(r.ways) >= mostWays) {
+		return addr, nil
+	}
 	relay, err := NewRelay(addr)
 	if err != nil {
 		return "", err
 	}
+	r.ways[key] = relay
+	return relay.Addr(), nil
+}
+
+// peerWay is how a member knows all others' datagrams.
+func (r *real) peerWay(n int, peers []string) ([]string, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ways = append(r.ways, relay)
-	return relay.Addr(), nil
+	out := slices.Clone(peers)
+	for to := range peers {
+		pair, end := [2]int{min(n, to), max(n, to)}, 0
+		if to == n {
+			continue
+		}
+		if to > n {
+			end = 1
+		}
+		if r.tells[pair] == nil {
+			d, err := NewDatagrams(peers[pair[0]], peers[pair[1]])
+			if err != nil {
+				return nil, err
+			}
+			r.tells[pair] = d
+		}
+		out[to] = r.tells[pair].Known(end)
+	}
+	return out, nil
 }
 
 func (r *real) close() {
@@ -251,6 +298,9 @@
 	for _, relay := range r.ways {
 		relay.Close()
 	}
+	for _, d := range r.tells {
+		d.Close()
+	}
 }
 
 // tail is the end of what the processes printed.
@@ -353,7 +403,7 @@
 		return
 	}
 	to := -1
-	if f.To != "" {
+	if f.To != "" && f.To != ToJournal && f.To != ToEngines {
 		if to = r.who(f.To); to < 0 || to == n {
 			return
 		}
@@ -467,9 +517,28 @@
 func (r *real) harm(n, to int, f Fault, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for key, relay := range r.ways {
+		if key.n == n && (f.To == ToJournal && key.to == live.ToJournal || f.To == ToEngines && key.to == live.ToEngine) {
+			relay.Cut(f.Way != WayIn, f.Way != WayOut)
+			time.AfterFunc(wait, func() { relay.Cut(false, false) })
+		}
+	}
+	if f.To == ToJournal || f.To == ToEngines {
+		return
+	}
+	for pair, d := range r.tells {
+		if f.Kind == Lossy || f.Kind == Cut && (pair[0] == n || pair[1] == n) && (to < 0 || pair[0] == to || pair[1] == to) {
+			lost, twice, late := f.Size, f.Size/2, 200*time.Millisecond
+			if f.Kind == Cut {
+				lost, twice, late = 1, 0, 0
+			}
+			d.Harm(lost, twice, late)
+			time.AfterFunc(wait, func() { d.Harm(0, 0, 0) })
+		}
+	}
 	for pair, relay := range r.relays {
-		if f.Kind == Lossy { // on a stream, loss is delay
-			relay.Slow(time.Duration(200*f.Size)*time.Millisecond, time.Duration(200*f.Size)*time.Millisecond, 0)
+		if f.Kind == Lossy { // on a stream, loss is delay and fewer bytes
+			relay.Slow(time.Duration(200*f.Size)*time.Millisecond, time.Duration(200*f.Size)*time.Millisecond, 64<<10)
 			time.AfterFunc(wait, func() { relay.Slow(0, 0, 0) })
 			continue
 		}
--- a/internal/drill/virtual.go
+++ b/internal/drill/virtual.go
@@ -540,7 +540,9 @@
 	case Acted:
 		v.stopAt, v.stopFor = "*", f.ForMS
 	case Cut:
-		w.cut(v, to, f)
+		if f.To != ToJournal && f.To != ToEngines { // neither is there in virtual time
+			w.cut(v, to, f)
+		}
 	case Lossy:
 		w.lossy = max(w.lossy, f.Size)
 		w.loop.After(f.ForMS, func() { w.lossy = 0 })
--- a/internal/emulator/live/day.go
+++ b/internal/emulator/live/day.go
@@ -32,8 +32,11 @@
 	// Home is where coordinator n runs, with operators' files of its own, what is added to its environment
 	// and where its log goes. Nil: a directory of the rehearsal's, without such files, and Log.
 	Home func(n int) (dir string, env []string, log io.Writer)
-	// Way is the address by which coordinator n reaches what listens at addr. Nil: straight.
-	Way func(n int, addr string) (string, error)
+	// Way is the address by which coordinator n reaches what listens at addr: the journal service, or an
+	// engine. Nil: straight.
+	Way func(n int, to, addr string) (string, error)
+	// PeerWay gives the addresses of all coordinators' datagrams as coordinator n is to know them. Nil: straight.
+	PeerWay func(n int, peers []string) ([]string, error)
 	// Rig is called as the day begins, to let further troubles befall the coordinators.
 	Rig func(ctx context.Context, r *Rig)
 	// Serving is called once all listens, with the configuration of a coordinator that
@@ -41,6 +44,12 @@
 	Serving func(journals []string, config func(n int, listen string) ([]byte, error)) error
 }
 
+// What a coordinator reaches.
+const (
+	ToJournal = "journal"
+	ToEngine  = "engine"
+)
+
 // Day is a day on real sockets.
 type Day struct {
 	s       *scenario.Scenario
@@ -124,6 +133,7 @@
 		return err
 	}
 	d.journal = j
+	j.way = d.opt.Way
 	var all []server
 	for _, e := range d.fleet[:d.s.Engines.Count] {
 		if err := e.boot(-1, 1); err != nil {
@@ -251,15 +261,22 @@
 	}
 	journal := d.journal.addrs[n]
 	if d.opt.Way != nil {
-		if journal, err = d.opt.Way(n, journal); err != nil {
+		if journal, err = d.opt.Way(n, ToJournal, journal); err != nil {
 			return nil, err
 		}
+		entries = d.journal.wayTo(n, entries)
 	}
 	whole := map[string]any{"name": fmt.Sprintf("n%d", n), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
 		"limits":  map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"journal": journal, "known": map[string]any{"pos": len(entries), "entries": entries}, "settings": json.RawMessage(set)}
 	if n < len(d.peers) { // each has an address of its own; there is no way to all at once
-		whole["peer_listen"], whole["peers"] = d.peers[n], d.peers
+		peers := d.peers
+		if d.opt.PeerWay != nil {
+			if peers, err = d.opt.PeerWay(n, peers); err != nil {
+				return nil, err
+			}
+		}
+		whole["peer_listen"], whole["peers"] = d.peers[n], peers
 	}
 	conf, err := json.Marshal(whole)
 	if err != nil {
--- a/internal/emulator/live/journal.go
+++ b/internal/emulator/live/journal.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -51,6 +52,7 @@
 	wake    chan struct{}
 	down    bool
 	told    func(coord int, s server)
+	way     func(coord int, to, addr string) (string, error) // nil: straight
 	servers []*http.Server
 	addrs   []string
 }
@@ -130,6 +132,24 @@
 	}
 }
 
+// wayTo are events with the engines' addresses as a coordinator reaches them.
+func (j *journal) wayTo(coord int, l []entry) []entry {
+	if j.way == nil {
+		return l
+	}
+	out := slices.Clone(l)
+	for i := range out {
+		out[i].Hosts.Servers = slices.Clone(out[i].Hosts.Servers)
+		for k := range out[i].Hosts.Servers {
+			s := &out[i].Hosts.Servers[k]
+			if addr, err := j.way(coord, ToEngine, s.Addr); err == nil {
+				s.Addr = addr
+			}
+		}
+	}
+	return out
+}
+
 func (j *journal) write(coord int, w http.ResponseWriter, l []entry) {
 	j.mu.Lock()
 	pos := len(j.entries)
@@ -137,7 +157,7 @@
 	if len(l) > 0 {
 		pos = l[len(l)-1].Pos
 	}
-	b, err := json.Marshal(map[string]any{"pos": pos, "entries": l})
+	b, err := json.Marshal(map[string]any{"pos": pos, "entries": j.wayTo(coord, l)})
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
