The spool folders of coordinators that are gone are collected by one owner, under a fence

A spool's directory is one coordinator's own, by its lock, so there was nothing to share: with spool.shared each keeps a folder by its name under one root, and the owner of collect-spool drops what is over in folders that nobody holds, and empty folders.

A folder has no transactions: the root's lock is held while the fence is checked, kept and the act lasts, so that an owner that is stopped in the middle keeps a later one waiting.

--- a/internal/ownership/jobs.go
+++ b/internal/ownership/jobs.go
@@ -14,6 +14,7 @@
 const (
 	JobPrune   = "prune-record"
 	JobJournal = "read-journal"
+	JobSpool   = "collect-spool"
 )
 
 // Registry is every job that there is.
@@ -21,6 +22,9 @@
 	return []Job{
 		{Name: JobPrune, Tells: "drops expired queries from the REST record that the coordinators share",
 			Fenced: "the record's table fence, in the transaction that drops"},
+		{Name: JobSpool, Tells: "drops what is over in the spool folders of coordinators that are gone, under a root that all share",
+			Fenced:   "the root's fences.json, under the root's lock for as long as the act lasts",
+			Harmless: "a folder is collected by whom holds its lock: twice finds nothing more"},
 		{Name: JobJournal, Tells: "follows the journal service and publishes the list to all others",
 			Fenced:   "each follower, durably, before it follows a published list",
 			Harmless: "two readers only call the journal service twice: what they publish is the same list"},
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -293,7 +293,7 @@
 		return err
 	}
 	p.rest = &transport.RestClients{Core: p.core, Store: p.store, Spool: p.spool, Keep: time.Duration(c.KeepSeconds) * time.Second,
-		Node: p.conf.Name, Every: time.Duration(c.PurgeMS) * time.Millisecond, Fleet: p.fleet,
+		Node: p.conf.Name, Every: time.Duration(c.PurgeMS) * time.Millisecond, Fleet: p.fleet, Collect: p.collector(c),
 		Pass: p.ready, Take: p.drain.take, Leaving: p.leaving, In: transport.NewBudget(p.memory(inShare)), Log: p.log}
 	if err := p.rest.Start(ctx); err != nil {
 		return err
--- a/internal/program/rest.go
+++ b/internal/program/rest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"aniseloft/decide"
+	"aniseloft/internal/ownership"
 	"aniseloft/internal/restconf"
 	"aniseloft/internal/spool"
 )
@@ -33,17 +34,53 @@
 	spoolSegment = 16 << 20
 )
 
+func (p *Program) spoolOptions(c restconf.Config) spool.Options {
+	return spool.Options{SegmentBytes: spoolSegment, Now: func() float64 { return float64(time.Now().UnixMicro()) / 1000 },
+		Limits: c.Spool.Limits(float64(c.KeepSeconds)*1000, p.conf.Settings.MaxComeBack), Pack: c.Spool.Pack}
+}
+
+// collector collects, for the whole fleet, what coordinators that are gone have left in a shared spool; nil where
+// that is nobody's job.
+func (p *Program) collector(c restconf.Config) func() error {
+	if !c.Spool.Shared || p.fleet == nil || !p.fleet.Has(ownership.JobSpool) {
+		return nil
+	}
+	root, name := c.Spool.Directory, p.conf.Name
+	return func() error {
+		fence, holder, may := p.fleet.Begin(ownership.JobSpool)
+		if !may {
+			return nil
+		}
+		defer p.fleet.End(ownership.JobSpool, fence)
+		var done spool.Collected
+		err := spool.Fenced(root, ownership.JobSpool, fence, holder, func() (err error) {
+			done, err = spool.Collect(root, name, p.spoolOptions(c))
+			return err
+		})
+		var refused ownership.RefusedError
+		if errors.As(err, &refused) {
+			p.fleet.Refused(ownership.JobSpool, refused)
+		} else if done.Expired+done.Removed > 0 {
+			p.log.Info("spool collected", "expired", done.Expired, "removed", done.Removed, "fence", fence)
+		}
+		return err
+	}
+}
+
 // openSpool opens the spool of results; nil where it is off.
 func (p *Program) openSpool(c restconf.Config) (*spool.Store, error) {
 	bytes := c.Spool.Bytes()
 	if bytes == 0 {
 		return nil, nil
 	}
-	opt := spool.Options{SegmentBytes: spoolSegment, Now: func() float64 { return float64(time.Now().UnixMicro()) / 1000 },
-		Limits: c.Spool.Limits(float64(c.KeepSeconds)*1000, p.conf.Settings.MaxComeBack), Pack: c.Spool.Pack}
+	opt := p.spoolOptions(c)
 	var m spool.Medium = spool.NewMemory()
 	if c.Spool.Directory != "" {
-		d, err := spool.OpenDirectory(c.Spool.Directory)
+		path := c.Spool.Directory
+		if c.Spool.Shared {
+			path = spool.Own(path, p.conf.Name)
+		}
+		d, err := spool.OpenDirectory(path)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", restconf.File, err)
 		}
--- a/internal/restconf/restconf.go
+++ b/internal/restconf/restconf.go
@@ -37,6 +37,7 @@
 // Spool is where results wait for their clients; off while TotalMB is 0.
 type Spool struct {
 	Directory string             `json:"directory"` // empty: in memory
+	Shared    bool               `json:"shared"`    // the directory holds a folder for each coordinator, by its name
 	TotalMB   float64            `json:"total_mb"`
 	OwnerMB   float64            `json:"owner_mb"` // of one owner; 0: only the total binds
 	ClassMB   map[string]float64 `json:"class_mb"` // of one class, by name; a class not named: only the total binds
@@ -81,6 +82,8 @@
 		return Fault{"/store", "missing while listen is set", "name a SQLite file or a postgres:// URL"}
 	case c.Listen != "" && c.KeepSeconds < 1:
 		return Fault{"/keep_seconds", "below 1", "keep ended queries for at least a second"}
+	case s.Shared && s.Directory == "":
+		return Fault{"/spool/shared", "set without a directory", "name the directory that the coordinators share"}
 	case s.TotalMB < 0:
 		return Fault{"/spool/total_mb", "below 0", "0 turns the spool off"}
 	case s.OwnerMB < 0 || s.OwnerMB > s.TotalMB:
--- /dev/null
+++ b/internal/spool/shared.go
@@ -0,0 +1,122 @@
+package spool
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"aniseloft/internal/ownership"
+)
+
+// A folder that several coordinators share holds one spool for each, in a folder by the coordinator's name, and
+// the fences of those who collect what coordinators that are gone have left.
+const fencesFile = "fences.json"
+
+// Own is a coordinator's own folder under one that several share.
+func Own(root, name string) string { return filepath.Join(root, name) }
+
+// Fenced lets f act on a shared folder under a job's fence: never after a later grant has acted there. The folder's
+// lock is held for as long as f acts, as a folder has no transactions: who is stopped in the middle keeps later
+// owners waiting, and does no harm when it goes on.
+func Fenced(root, job string, fence ownership.Fence, holder string, f func() error) error {
+	lock, err := os.OpenFile(filepath.Join(root, "lock"), os.O_CREATE|os.O_RDWR, private)
+	if err != nil {
+		return fmt.Errorf("spool: %w", err)
+	}
+	defer func() { _ = lock.Close() }()
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+		return fmt.Errorf("spool: %w", err)
+	}
+	path, seen := filepath.Join(root, fencesFile), map[string]ownership.Seen{}
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(raw, &seen)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("spool: %s: %w; move it away: the next owner's fence is then taken as the first", path, err)
+	}
+	next, err := seen[job].Admit(job, fence, holder)
+	if err != nil {
+		return err
+	}
+	if next != seen[job] { // kept before the act: a later restart must not forget whom it refused
+		seen[job] = next
+		if raw, err = json.Marshal(seen); err != nil {
+			return fmt.Errorf("spool: %w", err)
+		}
+		if err := writeSynced(path, raw); err != nil {
+			return err
+		}
+	}
+	return f()
+}
+
+// writeSynced writes a file whole or not at all, and makes it durable.
+func writeSynced(path string, raw []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+"-*")
+	if err != nil {
+		return fmt.Errorf("spool: %w", err)
+	}
+	_, err = f.Write(raw)
+	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+		return fmt.Errorf("spool: %w", err)
+	}
+	return nil
+}
+
+// Collected is what a collection came to.
+type Collected struct {
+	Folders int // whose coordinators are gone
+	InUse   int
+	Expired int // results whose time was over
+	Removed int // folders that held nothing any more
+}
+
+// Collect drops what is over in the folders of coordinators that are gone, under a shared root, and removes
+// folders that hold nothing any more. A folder in use is its own coordinator's to collect.
+func Collect(root, own string, opt Options) (c Collected, err error) {
+	entries, err := os.ReadDir(root)
+	if err != nil {
+		return c, fmt.Errorf("spool: %w", err)
+	}
+	for _, e := range entries {
+		if !e.IsDir() || e.Name() == own {
+			continue
+		}
+		dir, err := OpenDirectory(filepath.Join(root, e.Name()))
+		if errors.Is(err, ErrInUse) {
+			c.InUse++
+			continue
+		}
+		if err != nil {
+			return c, err
+		}
+		c.Folders++
+		st, _, err := Open(dir, opt)
+		if err != nil { // damaged or of a newer form: left for whom it belongs to
+			_ = dir.Close()
+			continue
+		}
+		n, err := st.Expire()
+		left := st.Usage().Results
+		if err = errors.Join(err, st.Close()); err != nil {
+			_ = dir.Close()
+			return c, err
+		}
+		if c.Expired += n; left == 0 { // its lock is held until it is gone: a coordinator that starts now makes another
+			err = os.RemoveAll(filepath.Join(root, e.Name()))
+			c.Removed++
+		}
+		if err = errors.Join(err, dir.Close()); err != nil {
+			return c, fmt.Errorf("spool: %w", err)
+		}
+	}
+	return c, nil
+}
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -53,6 +53,7 @@
 	Node    string        // this coordinator, in a record that several share
 	Every   time.Duration // between two purges; 0: the usual
 	Fleet   Fleet         // nil, or it has not this job: each coordinator purges
+	Collect func() error  // what coordinators that are gone have left in a shared spool; nil: nobody's job
 	Log     *slog.Logger
 
 	mu   sync.Mutex
@@ -119,6 +120,11 @@
 					f.Log.Warn("spool not purged", "err", err)
 				}
 			}
+			if f.Collect != nil {
+				if err := f.Collect(); err != nil {
+					f.Log.Warn("shared spool not collected", "err", err)
+				}
+			}
 			select {
 			case <-ctx.Done():
 				t.Stop()
