--- a/internal/drill/real.go
+++ b/internal/drill/real.go
@@ -224,18 +224,25 @@
 // env gives a process its own place for what outlives it, and a clock that is as wrong as the drill says.
 func (r *real) env(n int) []string {
 	l := []string{"TMPDIR=" + r.home(n)}
-	clock := ""
+	clock, disk := "", ""
 	for _, f := range r.d.Faults {
 		if f.Who != Name(n) {
-			continue // only a named process can be given a clock at its start
+			continue // only a named process can be given a clock or a disk at its start
 		}
 		switch f.Kind {
 		case Drift:
 			clock = strconv.FormatFloat(1+f.Size, 'f', 6, 64) + clock
 		case Step:
 			clock += fmt.Sprintf(" %.0f@%.0f", f.SizeMS, f.AtMS)
+		case SlowDisk:
+			disk += fmt.Sprintf(" slow:%.0f@%.0f", f.ForMS, f.AtMS)
+		case FullDisk:
+			disk += fmt.Sprintf(" full:%.0f@%.0f", f.ForMS, f.AtMS)
 		}
 	}
+	if disk != "" {
+		l = append(l, "ANISELOFT_DRILL_DISK="+disk)
+	}
 	if clock != "" {
 		l = append(l, "ANISELOFT_DRILL_CLOCK="+clock)
 	}
@@ -414,10 +421,12 @@
 	r.mu.Unlock()
 	wait := time.Duration(f.ForMS * float64(time.Millisecond))
 	switch f.Kind {
-	case Twin, FullDisk: // only in virtual time
-		r.mu.Lock()
-		r.said = append(r.said, f.Kind+" was not played: it is only in virtual time")
-		r.mu.Unlock()
+	case Twin, FullDisk, Drift, Step:
+		if f.Kind == Twin || f.Who != Name(n) {
+			r.mu.Lock()
+			r.said = append(r.said, f.Kind+" was not played: with real processes it needs a process by its name, and twin is only in virtual time")
+			r.mu.Unlock()
+		}
 	case Kill, Voted, Term:
 		r.end(n, f, wait)
 	case KillAll:
@@ -433,7 +442,11 @@
 		r.hold(n, true)
 		r.rig.Stop(n)
 		time.AfterFunc(wait, func() { r.rig.Go(n); r.hold(n, false) })
-	case Cut, Lossy, SlowDisk:
+	case SlowDisk:
+		if f.Who != Name(n) { // its disk is slow by itself where it was named
+			r.harm(n, to, f, wait)
+		}
+	case Cut, Lossy:
 		r.harm(n, to, f, wait)
 	case StepDown, MoveJob:
 		call := ownership.Call{Op: ownership.OpStepDown}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"aniseloft/internal/fleetconf"
@@ -21,6 +22,9 @@
 	// rate, and jumps in milliseconds, each at a time of the process, as "1.1 3600000@5000". It is absent in
 	// a normal run.
 	drillClock = "ANISELOFT_DRILL_CLOCK"
+	// drillDisk does the same for the disk of a seat, as "slow:5000@4000 full:3000@9000": from 4 s on the next save
+	// takes 5 s; from 9 s on no save succeeds for 3 s.
+	drillDisk = "ANISELOFT_DRILL_DISK"
 	// handOn is how long an end waits for the fleet's jobs to be given back; what is not given back by then
 	// runs out with its lease.
 	handOn = time.Second
@@ -53,10 +57,51 @@
 	if err != nil {
 		return err
 	}
-	p.fleet, err = newFleet(c, p.conf.Name, clock, p.log)
+	fault, err := diskFaults(os.Getenv(drillDisk))
+	if err != nil {
+		return err
+	}
+	p.fleet, err = newFleet(c, p.conf.Name, clock, fault, p.log)
 	return err
 }
 
+// diskFaults is what a drill has befall each save of a seat; nil: nothing.
+func diskFaults(drill string) (func() error, error) {
+	type span struct {
+		full     bool
+		at, long time.Duration
+		over     bool
+	}
+	var spans []span
+	for _, word := range strings.Fields(drill) {
+		kind, rest, _ := strings.Cut(word, ":")
+		long, at, timed := strings.Cut(rest, "@")
+		x, err := strconv.ParseFloat(long, 64)
+		y, err2 := strconv.ParseFloat(at, 64)
+		if err != nil || err2 != nil || !timed || kind != "slow" && kind != "full" {
+			return nil, fmt.Errorf("%s: %q: write it as slow:5000@4000 or full:3000@9000", drillDisk, word)
+		}
+		spans = append(spans, span{full: kind == "full", at: time.Duration(y * float64(time.Millisecond)), long: time.Duration(x * float64(time.Millisecond))})
+	}
+	if len(spans) == 0 {
+		return nil, nil
+	}
+	start := time.Now()
+	return func() error {
+		for i := range spans {
+			s, now := &spans[i], time.Since(start)
+			switch {
+			case s.full && now >= s.at && now < s.at+s.long:
+				return syscall.ENOSPC
+			case !s.full && now >= s.at && !s.over:
+				s.over = true
+				time.Sleep(s.long)
+			}
+		}
+		return nil
+	}, nil
+}
+
 // startRow has the record deal out the fleet's jobs, where the file says so.
 func (p *Program) startRow(ctx context.Context, c fleetconf.Config) error {
 	if !c.On() || c.By != fleetconf.ByRecord {
--- a/internal/program/fleet_full.go
+++ b/internal/program/fleet_full.go
@@ -10,10 +10,11 @@
 	"aniseloft/internal/transport/council"
 )
 
-func newFleet(c fleetconf.Config, name string, clock func() ownership.Millis, log *slog.Logger) (fleetPart, error) {
+func newFleet(c fleetconf.Config, name string, clock func() ownership.Millis, fault func() error, log *slog.Logger) (fleetPart, error) {
 	part, err := council.New(c, name, clock, log)
 	if err != nil {
 		return nil, err
 	}
+	part.DiskFaults(fault)
 	return part, nil
 }
--- a/internal/transport/council/council.go
+++ b/internal/transport/council/council.go
@@ -57,6 +57,7 @@
 	in      chan func(*seats.Seat) // to the seat
 	seat    *seats.Seat            // its own goroutine's alone; nil: there is none
 	disk    *disk
+	fault   func() error
 	net     net.Listener         // nil: this coordinator has no seat
 	seats   map[string]*peer     // to other seats; the seat's goroutine's alone
 	due     map[string]time.Time // when each may be dialled again
@@ -70,6 +71,9 @@
 	}
 }
 
+// DiskFaults has f befall each save of the seat before it begins, as a drill wants; it must be called before Run.
+func (c *Council) DiskFaults(f func() error) { c.fault = f }
+
 // Hear has f take what owners publish, once its fence is kept.
 func (c *Council) Hear(f func(transport.Published)) {
 	c.mu.Lock()
@@ -458,6 +462,7 @@
 	}
 	if o.Save != nil {
 		c.counts.syncs.Add(1)
+		c.disk.fault = c.fault
 		if err := c.disk.save(o.Save, o.Compact); err != nil {
 			c.Log.Error("council: its disk fails: the seat is left empty until a restart, the coordinator serves on", "err", err)
 			c.end()
--- a/internal/transport/council/disk.go
+++ b/internal/transport/council/disk.go
@@ -33,7 +33,8 @@
 	path         string
 	installation uint64
 	db           *bbolt.DB
-	number       uint64 // of this disk
+	number       uint64       // of this disk
+	fault        func() error // befalls each save before it begins, in a drill; nil: nothing does
 	syncs        int64
 }
 
@@ -118,6 +119,11 @@
 // machine does not take it back.
 func (d *disk) save(s *seats.Saved, compact uint64) error {
 	d.syncs++
+	if d.fault != nil {
+		if err := d.fault(); err != nil {
+			return fmt.Errorf("council: %s: %w", d.path, err)
+		}
+	}
 	err := d.db.Update(func(tx *bbolt.Tx) error {
 		state, entries := tx.Bucket(bucketState), tx.Bucket(bucketLog)
 		if s.Hard != nil {
