--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -876,30 +876,37 @@
 	}
 }
 
-// TestUnknownEngineIsNoWayAroundAJam (Ld51ecf): an engine that no report tells of is
-// judged by the fleet's mean. Jammed ones answer seldom: taken for idle, they drew
-// all that the others had no room for.
-func TestUnknownEngineIsNoWayAroundAJam(t *testing.T) {
-	set := plainSettings()
-	set.Gateways, set.MayTell = 300, true
-	s := newScript(t, set, 10)
-	unknown := 0
+// besideAJam has all engines but one told to be jammed, and counts which of 200 short queries go to that one.
+func (s *script) besideAJam(one EngineID) (sent int) {
 	for i := range 200 {
 		now, id := Millis(1000+i*50), RequestID(fmt.Sprint(i))
 		var lines []peerLine
-		for _, e := range s.g.order[1:] {
-			lines = append(lines, peerLine{tagOf(e.ID), []float64{0, 1 + 7*8, 0}})
+		for _, e := range s.g.order {
+			if e.ID != one {
+				lines = append(lines, peerLine{tagOf(e.ID), []float64{0, 1 + 7*8, 0}})
+			}
 		}
 		s.at(now, PeerHeard{From: 1, Data: encodePeer(peerReports, lines, tellMost)})
 		s.g.meanThreads = 2
 		s.at(now, Arrived{ID: id, Group: uint64(i), Left: 3000})
 		if e := s.sentTo(id); e != 0 {
 			s.at(now, AttemptEnded{ID: id, Engine: e, Outcome: OutcomeNotSent, Closed: true})
-			if e == s.g.order[0].ID {
-				unknown++
+			if e == one {
+				sent++
 			}
 		}
 	}
+	return sent
+}
+
+// TestUnknownEngineIsNoWayAroundAJam (Ld51ecf): an engine that no report tells of is
+// judged by the fleet's mean. Jammed ones answer seldom: taken for idle, they drew
+// all that the others had no room for.
+func TestUnknownEngineIsNoWayAroundAJam(t *testing.T) {
+	set := plainSettings()
+	set.Gateways, set.MayTell = 300, true
+	s := newScript(t, set, 10)
+	unknown := s.besideAJam(s.g.order[0].ID)
 	if unknown > 60 {
 		t.Fatalf("%d of 200 queries to the one engine that nothing is known of", unknown)
 	}
@@ -915,23 +922,7 @@
 	s := newScript(t, set, 10)
 	fresh := s.g.order[0].ID
 	s.at(900, ListChanged{Entries: []EngineEntry{{ID: fresh, State: EngineReady, Started: 900}}})
-	sent := 0
-	for i := range 200 {
-		now, id := Millis(1000+i*50), RequestID(fmt.Sprint(i))
-		var lines []peerLine
-		for _, e := range s.g.order[1:] {
-			lines = append(lines, peerLine{tagOf(e.ID), []float64{0, 1 + 7*8, 0}})
-		}
-		s.at(now, PeerHeard{From: 1, Data: encodePeer(peerReports, lines, tellMost)})
-		s.g.meanThreads = 2
-		s.at(now, Arrived{ID: id, Group: uint64(i), Left: 3000})
-		if e := s.sentTo(id); e != 0 {
-			s.at(now, AttemptEnded{ID: id, Engine: e, Outcome: OutcomeNotSent, Closed: true})
-			if e == fresh {
-				sent++
-			}
-		}
-	}
+	sent := s.besideAJam(fresh)
 	if sent < 20 {
 		t.Fatalf("%d of 200 queries to the one engine that is empty", sent)
 	}
--- a/internal/spool/shared.go
+++ b/internal/spool/shared.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"syscall"
 
+	"aniseloft/internal/durable"
 	"aniseloft/internal/ownership"
 )
 
@@ -47,30 +48,13 @@
 		if raw, err = json.Marshal(seen); err != nil {
 			return fmt.Errorf("spool: %w", err)
 		}
-		if err := writeSynced(path, raw); err != nil {
+		if err := durable.Write(path, raw); err != nil {
 			return err
 		}
 	}
 	return f()
 }
 
-// writeSynced writes a file whole or not at all, and makes it durable.
-func writeSynced(path string, raw []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+"-*")
-	if err != nil {
-		return fmt.Errorf("spool: %w", err)
-	}
-	_, err = f.Write(raw)
-	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		_ = os.Remove(f.Name())
-		return fmt.Errorf("spool: %w", err)
-	}
-	return nil
-}
-
 // Collected is what a collection came to.
 type Collected struct {
 	Folders int // whose coordinators are gone
--- a/internal/transport/council/council.go
+++ b/internal/transport/council/council.go
@@ -19,6 +19,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
+	"aniseloft/internal/durable"
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/ownership"
 	seats "aniseloft/internal/ownership/council"
@@ -209,17 +210,7 @@
 	if err != nil {
 		return fmt.Errorf("council: %w", err)
 	}
-	path := filepath.Join(c.conf.Directory, seenFile)
-	f, err := os.CreateTemp(c.conf.Directory, seenFile+"-*")
-	if err != nil {
-		return fmt.Errorf("council: %w", err)
-	}
-	_, err = f.Write(raw)
-	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		_ = os.Remove(f.Name())
+	if err := durable.Write(filepath.Join(c.conf.Directory, seenFile), raw); err != nil {
 		return fmt.Errorf("council: %w", err)
 	}
 	return nil
