--- a/internal/ctl/drill.go
+++ b/internal/ctl/drill.go
@@ -91,6 +91,7 @@
 		asJSON           bool
 		without          []string
 		program, out, on string
+		older            string
 	}
 	c := &cobra.Command{Use: "run NAME|FILE", Short: "Play a drill, with real processes or many times in virtual time", Args: cobra.ExactArgs(1),
 		Long: "With real processes a drill takes as long as it says, on loopback: coordinators, emulated engines and clients, the journal service, " +
@@ -126,7 +127,7 @@
 			if without != (drill.Without{}) {
 				return usage(errors.New("--without goes with --virtual: a real process keeps its guards"))
 			}
-			return realPlays(c, d, o.first, o.seeds, o.on, o.out, drill.RealOptions{Coordinator: o.program, Off: o.off, Debug: o.debug}, o.asJSON)
+			return realPlays(c, d, o.first, o.seeds, o.on, o.out, drill.RealOptions{Coordinator: o.program, Older: o.older, Off: o.off, Debug: o.debug}, o.asJSON)
 		}}
 	f := c.Flags()
 	f.Uint64Var(&o.first, "seed", 1, "the first seed")
@@ -136,6 +137,7 @@
 	f.BoolVar(&o.debug, "debug", false, "coordinators log each request and each line of the list, for aniseloftctl fleet logs")
 	f.StringSliceVar(&o.without, "without", nil, "guards to take out, in virtual time: fence, asked, vote, drift")
 	f.StringVar(&o.program, "coordinator", filepath.Join("bin", "aniseloft"), "the coordinator's program")
+	f.StringVar(&o.older, "older", "", "an earlier program, which each process runs until its first planned end, as in a rolling upgrade")
 	f.StringVar(&o.out, "out", "", "directory for logs and disks")
 	f.StringVar(&o.on, "scenario", "calm-weekday", "engines and clients of a drill with real processes, where it names none")
 	f.BoolVar(&o.asJSON, "json", false, "the result as JSON")
@@ -212,6 +214,14 @@
 	if _, err := os.Stat(opt.Coordinator); err != nil {
 		return usage(fmt.Errorf("--coordinator: %w; build it, or name it", err))
 	}
+	if opt.Older != "" {
+		if opt.Older, err = filepath.Abs(opt.Older); err != nil {
+			return usage(err)
+		}
+		if _, err := os.Stat(opt.Older); err != nil {
+			return usage(fmt.Errorf("--older: %w; name an earlier build", err))
+		}
+	}
 	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	broken := 0
--- a/internal/drill/real.go
+++ b/internal/drill/real.go
@@ -32,6 +32,7 @@
 type RealOptions struct {
 	Seed        uint64
 	Coordinator string             // the program
+	Older       string             // what each process runs until its first planned end, as before an upgrade; empty: Coordinator
 	Scenario    *scenario.Scenario // of engines and clients
 	Directory   string             // where logs and disks are kept; empty: gone after the drill
 	Off         bool               // the fleet's file switches nothing on, as a comparison
@@ -76,6 +77,7 @@
 	said   []string
 	causes []cause
 	busy   map[int]bool // in a kill or stop
+	newer  map[int]bool // those that have ended as planned
 }
 
 // wayKey names a way from a member to what is no coordinator.
@@ -106,7 +108,7 @@
 
 // Real plays a drill once with real processes on loopback.
 func Real(ctx context.Context, d *Drill, opt RealOptions) (*RealPlay, error) {
-	r := &real{d: d, opt: opt, rng: des.Stream(opt.Seed, "drill"), relays: map[[2]int]*Relay{}, ways: map[wayKey]*Relay{}, tells: map[[2]int]*Datagrams{}, busy: map[int]bool{}, dir: opt.Directory}
+	r := &real{d: d, opt: opt, rng: des.Stream(opt.Seed, "drill"), relays: map[[2]int]*Relay{}, ways: map[wayKey]*Relay{}, tells: map[[2]int]*Datagrams{}, busy: map[int]bool{}, newer: map[int]bool{}, dir: opt.Directory}
 	if r.dir == "" {
 		var err error
 		if r.dir, err = os.MkdirTemp("", "drill-"); err != nil {
@@ -121,7 +123,7 @@
 	s := *opt.Scenario
 	s.DurationMS, s.Coordinators.Count = d.DurationMS, d.Members
 	rep, err := live.Run(ctx, &s, live.Options{Seed: opt.Seed, Coordinator: opt.Coordinator, Log: io.Discard, Progress: opt.Progress,
-		Home: func(n int) (string, []string, io.Writer) { return r.home(n), r.env(n), r.logs[n] }, Way: r.way, PeerWay: r.peerWay,
+		Home: func(n int) (string, []string, io.Writer) { return r.home(n), r.env(n), r.logs[n] }, Way: r.way, PeerWay: r.peerWay, Program: r.program,
 		Rig: func(_ context.Context, rig *live.Rig) { r.begin(rig) }})
 	if err != nil {
 		return nil, fmt.Errorf("%w\n%s", err, r.tail())
@@ -129,6 +131,16 @@
 	return r.judge(ctx, rep)
 }
 
+// program is what a process runs: the older one until it has ended as planned.
+func (r *real) program(n, _ int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.opt.Older != "" && !r.newer[n] {
+		return r.opt.Older
+	}
+	return r.opt.Coordinator
+}
+
 func (r *real) home(n int) string { return filepath.Join(r.dir, Name(n)) }
 
 // free is an address on loopback that nobody has now.
@@ -495,6 +507,9 @@
 	}
 	if f.Kind == Term {
 		r.rig.Term(n)
+		r.mu.Lock()
+		r.newer[n] = true
+		r.mu.Unlock()
 	} else {
 		r.rig.Kill(n)
 	}
--- a/internal/emulator/live/day.go
+++ b/internal/emulator/live/day.go
@@ -29,6 +29,8 @@
 	Coordinator string    // the program; empty: only serve, nobody asks
 	Log         io.Writer // what coordinators print
 	Progress    func(now, end float64)
+	// Program is what coordinator n runs at its so-manieth start, from 0. Nil: Coordinator, always.
+	Program func(n, start int) string
 	// Home is where coordinator n runs, with operators' files of its own, what is added to its environment
 	// and where its log goes. Nil: a directory of the rehearsal's, without such files, and Log.
 	Home func(n int) (dir string, env []string, log io.Writer)
@@ -83,6 +85,7 @@
 	cmd    *exec.Cmd
 	ended  chan struct{}
 	killed bool
+	starts int
 	seeds  *rand.Rand
 }
 
@@ -215,7 +218,12 @@
 	if err := os.WriteFile(path, conf, 0o600); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	program, err := filepath.Abs(d.opt.Coordinator)
+	name := d.opt.Coordinator
+	if d.opt.Program != nil {
+		name = d.opt.Program(p.n, p.starts)
+	}
+	p.starts++
+	program, err := filepath.Abs(name)
 	if err != nil {
 		return fmt.Errorf("coordinator: %w", err)
 	}
