A reader publishes the whole list each second only while it changes

Seen by counting: with 300 followers and 60 engines the whole list each second is 2.7 MB/s at the leader, for nothing new. Change: each second for 5 s after a change, else each 15 s; who has just come reads for itself until then. Tested with a counted publisher.

--- a/internal/transport/roster_test.go
+++ b/internal/transport/roster_test.go
@@ -145,6 +145,42 @@
 
 func (nobody) Begin(string) (ownership.Fence, string, bool) { return 0, "", false }
 
+// owner owns every job, and keeps what it publishes.
+type owner struct {
+	Fleet
+	fence ownership.Fence
+	words []string
+}
+
+func (o *owner) Begin(string) (ownership.Fence, string, bool) { return o.fence, "n1/1", true }
+func (o *owner) End(string, ownership.Fence)                  {}
+func (o *owner) Publish(_ string, fence ownership.Fence, seq uint64, data []byte) {
+	o.words = append(o.words, fmt.Sprintf("%d/%d %s", fence, seq, data))
+}
+
+// A reader's first word is the whole list, and so is one now and then; the rest are changes, and word that it follows yet.
+func TestAReaderPublishesTheWholeFirst(t *testing.T) {
+	o := &owner{fence: 4}
+	l := &SharedList{view: map[string]journal.Server{}, readAt: map[string]time.Time{}, fleet: o, self: "n1", log: slog.New(slog.DiscardHandler)}
+	l.Read(true, []journal.Server{{ID: "a", State: "active"}})
+	l.Read(false, []journal.Server{{ID: "b", State: "active"}})
+	l.Still()
+	require.Len(t, o.words, 3)
+	require.Contains(t, o.words[0], `4/1 {"whole":true`)
+	require.Contains(t, o.words[1], `"id":"b"`)
+	require.NotContains(t, o.words[1], "whole")
+	require.Equal(t, "4/3 {}", o.words[2])
+	l.wholeAt = time.Now().Add(-2 * sharedWhole)
+	l.Still()
+	require.Contains(t, o.words[3], `"whole":true`, "it changed just now")
+	l.newAt, l.wholeAt = time.Now().Add(-2*sharedCalm), time.Now().Add(-2*sharedWhole)
+	l.Still()
+	require.Equal(t, "4/5 {}", o.words[4], "nothing is new")
+	o.fence = 6
+	l.Still()
+	require.Contains(t, o.words[5], `6/1 {"whole":true`, "a new owner begins with the whole")
+}
+
 // A whole list that leaves engines out, news out of order, and lines that can't be read: the published list is merged as
 // the journal service's own would be.
 func TestPublishedListsMerge(t *testing.T) {
--- a/internal/transport/sharedlist.go
+++ b/internal/transport/sharedlist.go
@@ -17,8 +17,11 @@
 	sharedEvery = 200 * time.Millisecond
 	// sharedSilence is how long others rely on its last word: three words lost, then each reads for itself.
 	sharedSilence = 3 * sharedEvery
-	// sharedWhole is how often the whole list goes along, for who missed a change or has just come.
+	// sharedWhole is how often the whole list goes along while it changes, for who missed a change; sharedRest how
+	// often while it does not, for who has just come and reads for itself until then.
 	sharedWhole = time.Second
+	sharedRest  = 15 * time.Second
+	sharedCalm  = 5 * time.Second // without a change
 	// sharedOwn is how long what a coordinator has read itself stands against a published list that calls
 	// an engine fitter: that list may have been on its way.
 	sharedOwn = 2 * time.Second
@@ -66,13 +69,13 @@
 	heardAt time.Time
 	gap     bool // a word was missed: what it told is not known
 	wholeAt time.Time
-	wake    chan struct{}
+	newAt   time.Time // when the list last changed
 	give    func(whole bool, servers []journal.Server)
 }
 
 // NewSharedList returns a list that the fleet's members share.
 func NewSharedList(fleet Fleet, self string, log *slog.Logger) *SharedList {
-	l := &SharedList{fleet: fleet, self: self, log: log, view: map[string]journal.Server{}, readAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	l := &SharedList{fleet: fleet, self: self, log: log, view: map[string]journal.Server{}, readAt: map[string]time.Time{}}
 	fleet.Hear(l.heard)
 	return l
 }
@@ -97,6 +100,9 @@
 	if whole {
 		clear(l.view)
 	}
+	if len(servers) > 0 {
+		l.newAt = now
+	}
 	for _, s := range servers {
 		l.view[s.ID], l.readAt[s.ID] = s, now
 	}
@@ -121,7 +127,11 @@
 	defer l.fleet.End(ownership.JobJournal, fence)
 	l.mu.Lock()
 	now := time.Now()
-	if fence != l.fence || now.Sub(l.wholeAt) >= sharedWhole {
+	every := sharedRest
+	if now.Sub(l.newAt) < sharedCalm {
+		every = sharedWhole
+	}
+	if fence != l.fence || now.Sub(l.wholeAt) >= every {
 		n.Whole, n.Servers, l.wholeAt = true, nil, now
 		for _, s := range l.view {
 			if s.State != "left" {
