A test posts on a new connection where the drain may be closing the old one

Seen once in a full run on a loaded machine: EOF on a POST over a kept connection that the drain under test was closing; net/http sends no POST again. The test closes its idle connections first; what it checks is unchanged.

--- a/cmd/aniseloft/rest_test.go
+++ b/cmd/aniseloft/rest_test.go
@@ -275,6 +275,7 @@
 	require.ErrorIs(t, err, io.EOF, "the idle connection is closed at once")
 	require.Contains(t, info(), `"starting":true`, "not ready while paused")
 	time.Sleep(1700 * time.Millisecond)
+	http.DefaultClient.CloseIdleConnections() // a POST on one that the drain closes meanwhile is not sent again
 	refused := p.post("trip-lookup", "", "x")
 	require.Equal(t, 429, refused.status, "a statement after 1.6 s is sent away")
 	require.Equal(t, "1", refused.retry)
