A start waits for a record that a stopped coordinator holds; seats hand the council on

Cause: Abandon at the start is not tried again beyond a statement's own wait. It is now, for 10 s; the test holds the record for longer than a statement waits, at both places.

A seat that leads and is told to end gives the council to another once the jobs are dealt out again.

The rehearsal's observer books sends on their way as their coordinator dies as its death's.

--- a/internal/drill/virtual.go
+++ b/internal/drill/virtual.go
@@ -584,6 +584,9 @@
 	}
 }
 
+// drainLeastMS is how long a coordinator goes on at least once it is told to end: it serves, and its seat agrees.
+const drainLeastMS = 900
+
 // end kills a process, or lets it end as planned, and starts it again.
 func (w *world) end(v *vnode, f Fault) {
 	kill := func() {
@@ -615,7 +618,7 @@
 		if v.boot != boot || !v.up {
 			return
 		}
-		if v.member.Idle() || w.loop.Now() > until {
+		if since := w.loop.Now() - until + w.d.LeaseMS; v.member.Idle() && since >= drainLeastMS || w.loop.Now() > until {
 			kill()
 			return
 		}
--- a/internal/emulator/observer/observer.go
+++ b/internal/emulator/observer/observer.go
@@ -291,6 +291,7 @@
 func (o *Observer) place(at float64, coord int, r *Request, id decide.EngineID, hall int) {
 	n, ok := o.told[coord][id]
 	switch limit := o.s.Rules.DrainGraceMS + o.slack; {
+	case r.excused: // it was on its way as its coordinator died, or stood still
 	case !ok:
 		o.Break(Unknown, at, "%s: engine %d was never listed to coordinator %d", r.Name, id, coord)
 	case n.state != decide.EngineReady && at > n.at+limit:
--- a/internal/store/fence_test.go
+++ b/internal/store/fence_test.go
@@ -98,6 +98,14 @@
 	time.AfterFunc(1500*time.Millisecond, func() { _, _ = first.Exec("COMMIT"); _ = first.Close() })
 	second, err := Open(t.Context(), path)
 	require.NoError(t, err)
+	// And one that stands still in the middle of a write, as the start ends what was left running.
+	stopped, err := Open(t.Context(), path)
+	require.NoError(t, err)
+	_, err = stopped.db.Exec("BEGIN IMMEDIATE")
+	require.NoError(t, err)
+	time.AfterFunc(1500*time.Millisecond, func() { _, _ = stopped.db.Exec("COMMIT"); _ = stopped.Close() })
+	_, err = second.Abandon(t.Context(), "n1")
+	require.NoError(t, err)
 	require.NoError(t, second.Close())
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,14 +87,7 @@
 	}
 	db.SetMaxOpenConns(1) // one writer; its descriptors are budgeted
 	s := &Store{db: db, rebind: rebind, now: now}
-	for err = s.prepare(ctx); isBusy(err); err = s.prepare(ctx) {
-		select { // several coordinators make one file at once: the switch to its journal waits for nobody by itself
-		case <-ctx.Done():
-			_ = db.Close()
-			return nil, err
-		case <-time.After(busyRest):
-		}
-	}
+	err = patiently(ctx, func() error { return s.prepare(ctx) })
 	if err != nil {
 		_ = db.Close()
 		return nil, err
@@ -108,6 +101,22 @@
 // sqliteBusy is SQLite's code for a file that another connection holds.
 const sqliteBusy = 5
 
+// patiently does something again for as long as another coordinator holds the record, and ctx lasts: one that is
+// making it, or that stands still in the middle of a write.
+func patiently(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if !isBusy(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(busyRest):
+		}
+	}
+}
+
 func isBusy(err error) bool {
 	var coded interface{ Code() int }
 	return errors.As(err, &coded) && coded.Code()&0xff == sqliteBusy
@@ -200,8 +209,12 @@
 
 // Abandon ends what an earlier process of this coordinator left running: it may have run, and is
 // never sent again. What other coordinators serve is theirs.
-func (s *Store) Abandon(ctx context.Context, node string) (int64, error) {
-	return s.exec(ctx, `UPDATE query SET state = 'failed' WHERE state = 'running' AND (node = $1 OR node = '')`, node)
+func (s *Store) Abandon(ctx context.Context, node string) (n int64, err error) {
+	err = patiently(ctx, func() (err error) {
+		n, err = s.exec(ctx, `UPDATE query SET state = 'failed' WHERE state = 'running' AND (node = $1 OR node = '')`, node)
+		return err
+	})
+	return n, err
 }
 
 const purge = `DELETE FROM query WHERE expiry_ms < $1 AND state <> 'running'`
--- a/internal/transport/council/council.go
+++ b/internal/transport/council/council.go
@@ -59,6 +59,7 @@
 	seat    *seats.Seat            // its own goroutine's alone; nil: there is none
 	disk    *disk
 	fault   func() error
+	leaving atomic.Bool
 	net     net.Listener         // nil: this coordinator has no seat
 	seats   map[string]*peer     // to other seats; the seat's goroutine's alone
 	due     map[string]time.Time // when each may be dialled again
@@ -72,6 +73,19 @@
 	}
 }
 
+// Leave gives everything back. A seat that leads hands the council on once the jobs are dealt out again.
+func (c *Council) Leave() {
+	c.leaving.Store(true)
+	c.Membership.Leave()
+}
+
+// handOn has another seat lead before this one ends: else the council has no leader until it is missed.
+func (c *Council) handOn(s *seats.Seat) {
+	if c.leaving.Load() && s.Leads() && c.Idle() {
+		s.Ask(c.Clock(), ownership.Call{Op: ownership.OpStepDown})
+	}
+}
+
 // DiskFaults has f befall each save of the seat before it begins, as a drill wants; it must be called before Run.
 func (c *Council) DiskFaults(f func() error) { c.fault = f }
 
@@ -432,7 +446,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			f = func(s *seats.Seat) { s.Tick(c.Clock()) }
+			f = func(s *seats.Seat) { s.Tick(c.Clock()); c.handOn(s) }
 		case <-c.changed:
 			c.reseat(ctx)
 			continue
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -32,8 +32,10 @@
 	pageSize   = 6000            // bytes of text on a page
 	storeLimit = 2 * time.Second // one call to the record
 	purgeEach  = time.Minute
-	lingerFor  = time.Second
-	lingerMost = 1 << 20
+	// abandonWithin is how long a start waits for a record that another coordinator holds.
+	abandonWithin = 10 * time.Second
+	lingerFor     = time.Second
+	lingerMost    = 1 << 20
 )
 
 var pagesJSON = jsoniter.ConfigCompatibleWithStandardLibrary
@@ -103,7 +105,9 @@
 // Start ends what an earlier process left unfinished, and purges until ctx ends.
 func (f *RestClients) Start(ctx context.Context) error {
 	f.live = map[string]*restQuery{}
-	n, err := f.Store.Abandon(ctx, f.Node)
+	actx, cancel := context.WithTimeout(ctx, abandonWithin)
+	n, err := f.Store.Abandon(actx, f.Node)
+	cancel()
 	if err != nil {
 		return err
 	}
