News count as told to all in drills; a leaving seat hands the council on once

In a drill what the service has counts as told to all, which is the stricter reading of the protocol.

--- a/internal/emulator/live/day.go
+++ b/internal/emulator/live/day.go
@@ -136,7 +136,8 @@
 		return err
 	}
 	d.journal = j
-	j.way = d.opt.Way
+	// Where coordinators may read for each other, news count as told once the service has them.
+	j.way, j.tellAll = d.opt.Way, d.opt.Rig != nil
 	var all []server
 	for _, e := range d.fleet[:d.s.Engines.Count] {
 		if err := e.boot(-1, 1); err != nil {
--- a/internal/emulator/live/journal.go
+++ b/internal/emulator/live/journal.go
@@ -53,6 +53,7 @@
 	down    bool
 	told    func(coord int, s server)
 	way     func(coord int, to, addr string) (string, error) // nil: straight
+	tellAll bool                                             // what is published counts as told to all, whoever reads it
 	servers []*http.Server
 	addrs   []string
 }
@@ -85,6 +86,13 @@
 	e.Pos = len(j.entries) + 1
 	e.Hosts.Version, e.Hosts.Full, e.Hosts.Servers = e.Pos, full, servers
 	j.entries = append(j.entries, e)
+	if j.tellAll {
+		for c := range j.addrs {
+			for _, s := range servers {
+				j.told(c, s)
+			}
+		}
+	}
 	close(j.wake)
 	j.wake = make(chan struct{})
 }
--- a/internal/transport/council/council.go
+++ b/internal/transport/council/council.go
@@ -79,9 +79,11 @@
 	c.Membership.Leave()
 }
 
-// handOn has another seat lead before this one ends: else the council has no leader until it is missed.
+// handOn has another seat lead before this one ends: else the council has no leader until it is missed. Once only, as
+// where all end together each would hand it to the next.
 func (c *Council) handOn(s *seats.Seat) {
 	if c.leaving.Load() && s.Leads() && c.Idle() {
+		c.leaving.Store(false)
 		s.Ask(c.Clock(), ownership.Call{Op: ownership.OpStepDown})
 	}
 }
