--- a/internal/fleetconf/fleetconf.go
+++ b/internal/fleetconf/fleetconf.go
@@ -30,7 +30,7 @@
 	Schema       string   `json:"$schema"`
 	Installation string   `json:"installation"` // empty: off
 	Generation   uint64   `json:"generation"`   // grows with each change of the seats
-	By           string   `json:"by,omitempty"`           // who deals out the jobs: "council", the usual, or "record"
+	By           string   `json:"by,omitempty"` // who deals out the jobs: "council", the usual, or "record"
 	Seats        []Seat   `json:"seats"`        // 1, 3 or 5; the first founds the council
 	Directory    string   `json:"directory"`    // where a seat keeps what it must not forget
 	Jobs         []string `json:"jobs"`         // that are done for the whole fleet; the rest each does for itself
