Nothing begins for a client that has left: not after a dial, not under its call for another

Three crossings: - A client leaves while its attempt is dialled and the settings let no attempt be called off (bounds.cancel false): the module sends no Cancel, and the attempt began up to connectTimeoutMs later. The last look now asks a flag that the front sets itself, before the core's goroutine has heard. - A client leaves while its keyed request waits unsent and another waits behind it: joins.next handed the request on with its call, and it was sent under the call of who had left. - The same while its attempt runs: further attempts went under the call of who had left. Now the run goes on only as it is; where it ends unserved, each that waits is tried itself, under its own call and until its own deadline. With the last that waits the run is given up. The table of heirs is gone: a run that lost its own client keeps its followers. Beside it: a request before the first list made the module panic (nil map in ranked); the core's start hides it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,7 +74,7 @@
 	}
 	g := &Gateway{set: followed(s), rng: rand.New(rand.NewPCG(seed, 1)), engines: map[EngineID]*engine{},
 		requests: map[RequestID]*request{}, loading: map[uint64]int{},
-		keys: map[uint64]*keyLine{}, peers: map[int]peerWord{},
+		keys: map[uint64]*keyLine{}, peers: map[int]peerWord{}, rankedBy: map[uint64][]*engine{},
 		logAt: never, toldSeen: never, wokeAt: never, askAt: never, bucketAt: never, trialSeq: -trialEach,
 		buckets: make([]float64, len(s.Tenants)), anew: anewMost}
 	g.beat = s.Classes[0].Aim
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -48,7 +48,7 @@
 
 // request is a query with what became of it.
 type request struct {
-	id       decide.RequestID
+	Ticket
 	query    Query
 	front    Front // nil once answered or gone
 	guard    *time.Timer
@@ -59,7 +59,6 @@
 	// Of a keyed class: the request that runs under the same key, and those that wait for this one.
 	leader    *request
 	followers []*request
-	heir      decide.RequestID // whose client it runs on for; empty: its own
 }
 
 // attempt is a send that has no outcome yet, or had one.
@@ -187,63 +186,80 @@
 func (c *Core) LastTaken() time.Time { return time.UnixMilli(c.takenAt.Load()) }
 
 // Ticket names a submitted query to its front.
-type Ticket struct{ id decide.RequestID }
+type Ticket struct {
+	id decide.RequestID
+	// gone is set the moment its client is known to have left: a send looks at it as its first
+	// byte goes, before the core's goroutine has heard.
+	gone *atomic.Bool
+}
 
 // Submit takes a query. Its front gets exactly one answer, unless it says Gone first.
 func (c *Core) Submit(q Query, f Front) Ticket {
-	t := Ticket{decide.RequestID(strconv.FormatUint(c.seq.Add(1), 36))}
+	t := Ticket{decide.RequestID(strconv.FormatUint(c.seq.Add(1), 36)), new(atomic.Bool)}
 	c.open.Add(1)
 	c.takenAt.Store(time.Now().UnixMilli())
-	c.post(func() { c.arrived(t.id, q, f) })
+	c.post(func() { c.arrived(t, q, f) })
 	return t
 }
 
-// Gone withdraws a query: its client no longer waits, and no answer is owed.
+// Gone withdraws a query: its client no longer waits, and no answer is owed. No attempt of
+// it begins from now on.
 func (c *Core) Gone(t Ticket) {
+	t.gone.Store(true)
 	c.post(func() {
 		if f := c.joins.behind[t.id]; f != nil {
 			c.Counts.gone(f.query.Class)
-			c.joins.leave(f)
 			c.close(f)
+			c.unfollow(f)
 			return
 		}
 		r := c.requests[t.id]
-		if h := c.joins.heirs[t.id]; h != nil {
-			r = h
-		} else if r != nil && r.heir != "" { // its own client has left already
-			r = nil
-		}
 		if r == nil || r.front == nil {
 			return
 		}
 		c.Counts.gone(r.query.Class)
-		delete(c.joins.heirs, r.heir)
-		if f := c.joins.next(r); f != nil { // the run goes on for who waits for it
-			r.front, f.front = f.front, nil
-			f.guard.Stop()
-			c.open.Add(-1)
-			return
-		}
-		c.joins.end(r)
 		c.close(r)
 		c.handle(decide.ClientGone{ID: r.id})
+		if r.running == 0 { // who waited for it is tried itself
+			c.settle(r, Answer{Kind: Failed})
+		}
 		c.forget(r)
 	})
 }
 
+// unfollow takes out one that no longer waits behind another. A run that goes on only for those
+// who wait is given up with the last of them.
+func (c *Core) unfollow(f *request) {
+	r := f.leader
+	c.joins.leave(f)
+	if r.front == nil && len(r.followers) == 0 {
+		c.giveUp(r)
+	}
+}
+
+// giveUp ends a run that nobody waits for, where the settings let runs be ended.
+func (c *Core) giveUp(r *request) {
+	if !c.set.MayCancel {
+		return
+	}
+	for _, t := range r.attempts {
+		t.cancel()
+	}
+}
+
 // now is the module's clock: Unix milliseconds, as engines' starts are told in.
 func now() decide.Millis { return float64(time.Now().UnixMicro()) / 1000 }
 
 func ms(m decide.Millis) time.Duration { return time.Duration(m * float64(time.Millisecond)) }
 
-func (c *Core) arrived(id decide.RequestID, q Query, f Front) {
+func (c *Core) arrived(t Ticket, q Query, f Front) {
 	c.Counts.taken(q.Class)
-	c.take(id, q, f)
+	c.take(t, q, f)
 }
 
 // take opens a query, for the first time or after what ran under its key has ended unserved.
-func (c *Core) take(id decide.RequestID, q Query, f Front) {
-	r := &request{id: id, query: q, front: f, priority: -1}
+func (c *Core) take(t Ticket, q Query, f Front) {
+	r := &request{Ticket: t, query: q, front: f, priority: -1}
 	if len(c.requests) >= c.limit || len(q.Statement) > c.room {
 		c.answer(r, Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: "too much is open"})
 		return
@@ -266,12 +282,12 @@
 		r.guard = time.AfterFunc(max(left, 0), func() { c.post(func() { c.tired(r) }) })
 		return
 	}
-	c.requests[id], c.calls[q.Call] = r, struct{}{}
+	c.requests[t.id], c.calls[q.Call] = r, struct{}{}
 	c.room -= len(q.Statement)
 	c.log.Debug("taken", "call", q.Call, "class", q.Class, "left_ms", left.Milliseconds(), "work_ms", q.Work)
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
-	c.handle(decide.Arrived{ID: id, Class: q.Class, Group: Group(string(q.Statement)),
+	c.handle(decide.Arrived{ID: t.id, Class: q.Class, Group: Group(string(q.Statement)),
 		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB, Retry: q.Repeat})
 }
 
@@ -281,12 +297,12 @@
 	if r.leader == nil {
 		return
 	}
-	c.joins.leave(r)
 	a := Answer{Kind: Failed, Why: "still running under its key"}
 	if c.harmless(r.query.Class) {
 		a.Kind, a.ComeBack = Refused, ms(c.set.MaxComeBack)
 	}
 	c.answer(r, a)
+	c.unfollow(r)
 }
 
 // harmless tells whether a client may try again whatever ran: the class is safe, or any engine drops a repeat.
@@ -302,7 +318,7 @@
 func (c *Core) HandBack(comeBack time.Duration) {
 	c.post(func() {
 		for _, r := range c.requests {
-			if r.front == nil {
+			if r.front == nil && len(r.followers) == 0 {
 				continue
 			}
 			a := Answer{Kind: Refused, ComeBack: comeBack, Why: "handed back: this process ends"}
@@ -315,6 +331,7 @@
 			}
 			c.answer(r, a)
 			c.handle(decide.ClientGone{ID: r.id})
+			c.giveUp(r) // also one that went on only for those who waited
 			c.forget(r)
 		}
 	})
@@ -339,15 +356,20 @@
 	c.log.Debug("answered", "call", r.query.Call, "class", r.query.Class, "kind", a.Kind.String(), "attempts", len(r.attempts), "why", a.Why)
 	c.close(r)
 	f.Answer(a)
+	c.settle(r, a)
+}
+
+// settle ends the run under a key for those who waited for it: a result is theirs too. Where
+// there is none each is tried itself, under its own call, as the client of the first may be gone.
+func (c *Core) settle(r *request, a Answer) {
 	for _, w := range c.joins.end(r) {
 		if a.Kind == Served {
 			c.answer(w, a)
 			continue
 		}
-		// What ended unserved under the key may be tried for the next in its place.
 		front := w.front
 		w.guard.Stop()
-		c.after = append(c.after, func() { c.take(w.id, w.query, front) })
+		c.after = append(c.after, func() { c.take(w.Ticket, w.query, front) })
 	}
 }
 
@@ -393,8 +415,8 @@
 	case decide.Send:
 		c.send(a)
 	case decide.Cancel:
-		if r := c.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
-			c.Counts.cancels.Add(1)
+		if r := c.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && !(r.front == nil && len(r.followers) > 0) {
+			c.Counts.cancels.Add(1) // a run goes on for those who wait for it
 			r.attempts[a.Attempt].cancel()
 		}
 	case decide.Refuse:
@@ -469,7 +491,9 @@
 				}
 			})
 		},
-		Ready: func() bool { return e.ready.Load() && !c.hand.isOut(e.Name) }}
+		Ready: func() bool {
+			return e.ready.Load() && !c.hand.isOut(e.Name) && !r.gone.Load()
+		}}
 	if try.Sink != nil {
 		try.Sink = &lively{Sink: try.Sink, tell: func() { try.Note(decide.ProgressPages, 0) }}
 	}
@@ -507,8 +531,13 @@
 	t.cancel()
 	r.running--
 	c.Counts.ended(r.query.Class, res.Outcome)
+	end := Answer{Kind: Failed}
 	if res.Outcome == decide.OutcomeServed {
-		c.answer(r, Answer{Kind: Served, Body: res.Body, Streamed: res.Streamed})
+		end = Answer{Kind: Served, Body: res.Body, Streamed: res.Streamed}
+		c.answer(r, end)
+	}
+	if r.front == nil {
+		c.settle(r, end)
 	}
 	took := float64(time.Since(t.at).Microseconds()) / 1000
 	c.log.Debug("ended", "call", r.query.Call, "class", r.query.Class, "attempt", n, "engine", t.name(),
--- a/internal/routing/joins.go
+++ b/internal/routing/joins.go
@@ -7,12 +7,12 @@
 	"aniseloft/decide"
 )
 
-// joins holds, for each key in use, the request that runs under it and those that wait for its end. It belongs to the
+// joins holds, for each key in use, the request that runs under it, which may have lost its own client, and
+// those that wait for its end. It belongs to the
 // core's goroutine, does no I/O and knows no clock.
 type joins struct {
 	lead   map[joinKey]*request
 	behind map[decide.RequestID]*request // those that wait, by their own id
-	heirs  map[decide.RequestID]*request // the run that went on for one whose first client left
 }
 
 type joinKey struct {
@@ -30,8 +30,7 @@
 var errOtherStatement = errors.New("the key is in use with another statement")
 
 func newJoins() *joins {
-	return &joins{lead: map[joinKey]*request{}, behind: map[decide.RequestID]*request{},
-		heirs: map[decide.RequestID]*request{}}
+	return &joins{lead: map[joinKey]*request{}, behind: map[decide.RequestID]*request{}}
 }
 
 // join makes a request wait for the one that runs under its key, or lets it run itself.
@@ -73,17 +72,6 @@
 	r.leader = nil
 }
 
-// next gives the first that waits, out of the line: the leader's run goes on for it. Nil: nobody waits.
-func (j *joins) next(first *request) *request {
-	if len(first.followers) == 0 {
-		return nil
-	}
-	f := first.followers[0]
-	j.leave(f)
-	j.heirs[f.id], first.heir = first, f.id
-	return f
-}
-
 // end frees the key of a request that is answered, and gives all that waited for it.
 func (j *joins) end(first *request) []*request {
 	k := joinKey{first.query.Class, first.query.Key}
@@ -91,7 +79,6 @@
 		return nil
 	}
 	delete(j.lead, k)
-	delete(j.heirs, first.heir)
 	waiting := first.followers
 	first.followers = nil
 	for _, f := range waiting {
