A further attempt under a key does not begin once its window has passed

Found by reading: the module checks the repeat window (repeatWindowMs from the first send) as it decides, but the first byte goes after a dial of up to connectTimeoutMs, when engines may no longer drop the repeat. Cause: decide.Send told no latest time, and the driver's last look asked only for drains. Change: Send.Before, set by the module for further attempts of keyed classes (first send + window, by the module's clock); the core's last look before the first byte holds to it, for both drivers. What is not sent is answered at once. Test: a further attempt decided inside a window of 300 ms and dialled past it; without the term in core.go it fails (Ready stays true).

--- a/decide/api.go
+++ b/decide/api.go
@@ -278,6 +278,9 @@
 		ID      RequestID
 		Engine  EngineID
 		Timeout Millis
+		// Before is when, on the caller's clock, its first byte must have gone, or it is not sent:
+		// after that the engines may no longer drop it as a repeat. 0: any time.
+		Before Millis
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -590,8 +590,11 @@
 	r.attempts++
 	r.on, r.sentAt, r.lifeAt, r.load, r.leaving, r.spills = e, g.now, g.now, g.expect(r), false, false
 	r.mem = g.holds(r, e)
+	before := 0.0
 	if r.mayRunAt == never {
 		r.mayRunAt, r.runAt = g.now, e
+	} else if c.Repeat == RepeatKeyed {
+		before = r.mayRunAt + c.RepeatWindow // a dial in between takes time
 	}
 	g.attach(r, e)
 	if e.onTrial {
@@ -614,7 +617,7 @@
 	if grant > 0 || first != priorityUsual {
 		g.do(SetTerms{r.ID, grant, first})
 	}
-	g.do(Send{r.ID, e.ID, max(r.deadline-g.now, 0.001)})
+	g.do(Send{r.ID, e.ID, max(r.deadline-g.now, 0.001), before})
 }
 
 // priority is by worth for work against the mean of what arrives: what earns more than that
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -492,7 +492,7 @@
 			})
 		},
 		Ready: func() bool {
-			return e.ready.Load() && !c.hand.isOut(e.Name) && !r.gone.Load()
+			return e.ready.Load() && !c.hand.isOut(e.Name) && !r.gone.Load() && (a.Before == 0 || now() < a.Before)
 		}}
 	if try.Sink != nil {
 		try.Sink = &lively{Sink: try.Sink, tell: func() { try.Note(decide.ProgressPages, 0) }}
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -179,3 +179,32 @@
 	last.end(decide.OutcomeServed)
 	require.Equal(t, Served, receive(t, served.answers).Kind)
 }
+
+// Engines drop repeats for a while that begins with the first send. A further attempt that was decided inside it and
+// began after a dial outside it ran twice.
+func TestAFurtherAttemptDoesNotBeginOutsideItsWindow(t *testing.T) {
+	const window = 300 * time.Millisecond
+	c, p, list := coreOf(t, true, float64(window.Milliseconds()))
+	list()
+	asked, _ := ask(c, "one", 1, "k")
+	first := p.next(t)
+	require.True(t, first.Ready())
+	sent := time.Now() // the window began before
+	first.end(decide.OutcomeLost)
+	var second *run
+	select {
+	case second = <-p.runs:
+	case a := <-asked.answers: // a machine that stood still: the window had passed before the decision
+		require.Equal(t, Refused, a.Kind)
+		return
+	}
+	require.Equal(t, "one", second.Call)
+	for time.Since(sent) < window { // the dial
+		time.Sleep(time.Millisecond)
+	}
+	require.False(t, second.Ready())
+	second.end(decide.OutcomeNotSent)
+	require.Equal(t, Refused, receive(t, asked.answers).Kind, "answered at once")
+	settled(t, c)
+	require.Empty(t, p.runs)
+}
