Names: a front's connection is a ClientConn, and what can't be taken is rejected

Guest, guests, strike and struck hid the terms connection and reject. Only names change, in the client fronts and their listener; go vet and the tests of internal/transport pass as before.

--- a/internal/transport/admin.go
+++ b/internal/transport/admin.go
@@ -30,7 +30,7 @@
 }
 
 // Serve reads the one call of a connection and answers it.
-func (a *Admin) Serve(ctx context.Context, g *Guest) {
+func (a *Admin) Serve(ctx context.Context, g *ClientConn) {
 	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	deadline := time.Now().Add(adminPatience)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -18,9 +18,9 @@
 	clientWrite  = 5 * time.Second // an answer that a client does not read ends its connection
 	maxPerClient = 32              // open requests on a connection
 	outQueue     = 4 * maxPerClient
-	// strikeRest is how long a connection goes unread after messages that can't be
+	// rejectRest is how long a connection goes unread after messages that can't be
 	// taken: a client that sends such at full speed must not fill the core.
-	strikeRest = 20 * time.Millisecond
+	rejectRest = 20 * time.Millisecond
 	// leaveLook is how often a reader looks whether its connection may go, during a drain.
 	leaveLook = 50 * time.Millisecond
 )
@@ -43,12 +43,12 @@
 // client is one connection.
 type client struct {
 	front  *Clients
-	guest  *Guest
+	conn  *ClientConn
 	out    chan []byte
 	queued atomic.Int64 // bytes in out
 	mu     sync.Mutex
 	dead   bool // nothing more is queued for it
-	struck bool // sent what can't be taken, since the last read
+	rejected bool // sent what can't be taken, since the last read
 	open   map[string]*reply
 }
 
@@ -60,8 +60,8 @@
 }
 
 // Serve speaks with one client until it leaves or ctx ends.
-func (f *Clients) Serve(ctx context.Context, g *Guest) {
-	k := &client{front: f, guest: g, out: make(chan []byte, outQueue), open: map[string]*reply{}}
+func (f *Clients) Serve(ctx context.Context, g *ClientConn) {
+	k := &client{front: f, conn: g, out: make(chan []byte, outQueue), open: map[string]*reply{}}
 	l := newLink(g, shortBuffer)
 	written := make(chan struct{})
 	go func() { defer close(written); k.writeAll(l) }()
@@ -95,9 +95,9 @@
 			f.Log.Debug("client connection closed", "err", err, "fits", fits)
 			break
 		}
-		if k.struck {
-			k.struck = false
-			time.Sleep(strikeRest)
+		if k.rejected {
+			k.rejected = false
+			time.Sleep(rejectRest)
 		}
 	}
 	stop()
@@ -128,14 +128,14 @@
 		}
 	case jsonrpc.Bad:
 		if !k.inUse(msg.ID) {
-			k.strike(msg.Answer)
+			k.reject(msg.Answer)
 		}
 	}
 }
 
-// strike answers what can't be taken.
-func (k *client) strike(line []byte) {
-	k.struck = true
+// reject answers what can't be taken.
+func (k *client) reject(line []byte) {
+	k.rejected = true
 	k.send(line)
 }
 
@@ -150,7 +150,7 @@
 		return false
 	}
 	k.front.Core.Gone(r.ticket)
-	k.strike(jsonrpc.Error(id, jsonrpc.CodeInvalid, "invalid request: the id is in use"))
+	k.reject(jsonrpc.Error(id, jsonrpc.CodeInvalid, "invalid request: the id is in use"))
 	return true
 }
 
@@ -159,7 +159,7 @@
 	r := k.open[id]
 	if r != nil {
 		delete(k.open, id)
-		k.guest.opened(-1)
+		k.conn.opened(-1)
 	}
 	return r
 }
@@ -168,20 +168,20 @@
 	core := k.front.Core
 	class, ok := core.Class(m.Method)
 	if !ok {
-		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeNoMethod, "method not found"))
+		k.reject(jsonrpc.Error(m.ID, jsonrpc.CodeNoMethod, "method not found"))
 		return
 	}
 	if err := core.Usable(class, m.TTL, m.Work, m.RAM); err != nil {
-		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: "+err.Error()))
+		k.reject(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: "+err.Error()))
 		return
 	}
 	cls := core.Settings().Classes[class]
 	if cls.Repeat == decide.RepeatKeyed && m.Key == "" {
-		k.strike(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: dedupe is needed: engines drop repeats of this class by it"))
+		k.reject(jsonrpc.Error(m.ID, jsonrpc.CodeParams, "invalid params: dedupe is needed: engines drop repeats of this class by it"))
 		return
 	}
 	if k.front.Take != nil && !k.front.Take(at, oncall.Expect(m.Work, cls.Threads, cls.Aim)) {
-		k.guest.sentAway()
+		k.conn.sentAway()
 		k.send(jsonrpc.Refused(m.ID, "this coordinator is sending its clients away", float64(oncall.ComeBack.Milliseconds())))
 		return
 	}
@@ -190,11 +190,11 @@
 	full := len(k.open) >= maxPerClient
 	if !full {
 		k.open[m.ID] = r
-		k.guest.opened(1)
+		k.conn.opened(1)
 	}
 	k.mu.Unlock()
 	if full {
-		k.strike(jsonrpc.Refused(m.ID, "too many open requests on this connection", core.Settings().MaxComeBack))
+		k.reject(jsonrpc.Refused(m.ID, "too many open requests on this connection", core.Settings().MaxComeBack))
 		return
 	}
 	r.ticket = core.Submit(routing.Query{Call: m.Call, Class: class, Statement: m.Document,
@@ -221,7 +221,7 @@
 	r.c.close(r.id)
 	r.c.queue(line)
 	if len(r.c.open) == 0 && r.c.front.leaving() {
-		_ = r.c.guest.SetReadDeadline(time.Now()) // its reader is to close it
+		_ = r.c.conn.SetReadDeadline(time.Now()) // its reader is to close it
 	}
 }
 
@@ -249,7 +249,7 @@
 	k.front.Out.move(len(line), 0)
 	k.dead = true
 	close(k.out)
-	_ = k.guest.Close()
+	_ = k.conn.Close()
 }
 
 // leave withdraws what is open: nobody waits for it any more.
@@ -275,7 +275,7 @@
 			err = k.write(l, line)
 		}
 		if err != nil {
-			_ = k.guest.Close() // the reader closes the queue, which is emptied till then
+			_ = k.conn.Close() // the reader closes the queue, which is emptied till then
 		}
 		k.queued.Add(-int64(len(line)))
 		k.front.Out.move(len(line), 0)
@@ -284,7 +284,7 @@
 }
 
 func (k *client) write(l *link, line []byte) error {
-	if err := k.guest.SetWriteDeadline(time.Now().Add(clientWrite)); err != nil {
+	if err := k.conn.SetWriteDeadline(time.Now().Add(clientWrite)); err != nil {
 		return err
 	}
 	if _, err := l.text.W.Write(line); err != nil || len(k.out) > 0 {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -40,8 +40,8 @@
 // move books a change of what one connection holds and tells whether it is within the budget.
 func (b *Budget) move(from, to int) bool { return b.left.Add(int64(from-to)) >= 0 || to <= from }
 
-// Guest is one connection of a front, with what tells whether it may be closed.
-type Guest struct {
+// ClientConn is one connection of a front, with what tells whether it may be closed.
+type ClientConn struct {
 	net.Conn
 	of    *Listener
 	mu    sync.Mutex
@@ -53,7 +53,7 @@
 }
 
 // said notes what a read brought: whole messages, the beginning of one, or both.
-func (g *Guest) said(whole, half bool) {
+func (g *ClientConn) said(whole, half bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -69,14 +69,14 @@
 }
 
 // opened notes that n more requests are open.
-func (g *Guest) opened(n int) {
+func (g *ClientConn) opened(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.open, g.since = g.open+n, time.Now()
 }
 
 // due is when the connection is to be closed, as things stand.
-func (g *Guest) due(idle time.Duration) time.Time {
+func (g *ClientConn) due(idle time.Duration) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -92,22 +92,22 @@
 
 // quiet tells whether a connection may be closed for a drain: nothing is open on it,
 // no message is under way, and it has had its chance to send its first.
-func (g *Guest) quiet() bool {
+func (g *ClientConn) quiet() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.open == 0 && g.half.IsZero() && (g.whole || time.Since(g.since) >= firstBy)
 }
 
 // leave notes that a drain closes the connection, as nothing is open on it.
-func (g *Guest) leave() { g.of.counts.left.Add(1) }
+func (g *ClientConn) leave() { g.of.counts.left.Add(1) }
 
 // sentAway notes that a drain refused a request as it came.
-func (g *Guest) sentAway() { g.of.counts.away.Add(1) }
+func (g *ClientConn) sentAway() { g.of.counts.away.Add(1) }
 
 // idleSince tells since when nothing is open on it and no byte came; ok is false while
 // something is open. A client that writes slowly is heard from, one that stopped half
 // way is not.
-func (g *Guest) idleSince() (at time.Time, ok bool) {
+func (g *ClientConn) idleSince() (at time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at = g.since
@@ -121,11 +121,11 @@
 type Listener struct {
 	net    net.Listener
 	limit  int
-	serve  func(context.Context, *Guest)
+	serve  func(context.Context, *ClientConn)
 	ctx    context.Context
 	cancel context.CancelFunc
 	mu     sync.Mutex
-	guests map[*Guest]struct{}
+	conns map[*ClientConn]struct{}
 	active sync.WaitGroup
 	log    *slog.Logger
 	counts struct{ taken, closed, left, away atomic.Int64 }
@@ -136,7 +136,7 @@
 
 // Listen opens addr; at most limit connections are served at a time. Where more
 // come, the one idle the longest is closed for each.
-func Listen(addr string, limit int, log *slog.Logger, serve func(context.Context, *Guest)) (*Listener, error) {
+func Listen(addr string, limit int, log *slog.Logger, serve func(context.Context, *ClientConn)) (*Listener, error) {
 	// Each read has its own limit, and the calls to set it up cost. A second process of an
 	// upgrade listens at the same address beside the first.
 	c := net.ListenConfig{KeepAlive: -1, Control: ReusePort}
@@ -144,7 +144,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Listener{net: n, limit: limit, guests: map[*Guest]struct{}{}, serve: serve, log: log}
+	l := &Listener{net: n, limit: limit, conns: map[*ClientConn]struct{}{}, serve: serve, log: log}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l, nil
 }
@@ -167,7 +167,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return fmt.Sprintf("counters client_connections addr=%s open=%d limit=%d taken=%d closed_for_others=%d closed_leaving=%d sent_away=%d\n",
-		l.net.Addr(), len(l.guests), l.limit, l.counts.taken.Load(), l.counts.closed.Load(), l.counts.left.Load(), l.counts.away.Load())
+		l.net.Addr(), len(l.conns), l.limit, l.counts.taken.Load(), l.counts.closed.Load(), l.counts.left.Load(), l.counts.away.Load())
 }
 
 // Addr is where it listens.
@@ -198,10 +198,10 @@
 			case <-time.After(roomEach):
 			}
 		}
-		g := &Guest{Conn: c, of: l, since: time.Now()}
+		g := &ClientConn{Conn: c, of: l, since: time.Now()}
 		l.counts.taken.Add(1)
 		l.mu.Lock()
-		l.guests[g] = struct{}{}
+		l.conns[g] = struct{}{}
 		l.mu.Unlock()
 		l.active.Add(1)
 		go func() {
@@ -212,9 +212,9 @@
 	}
 }
 
-func (l *Listener) end(g *Guest) {
+func (l *Listener) end(g *ClientConn) {
 	l.mu.Lock()
-	delete(l.guests, g)
+	delete(l.conns, g)
 	l.mu.Unlock()
 	_ = g.Close()
 }
@@ -224,12 +224,12 @@
 func (l *Listener) room() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.guests) < l.limit {
+	if len(l.conns) < l.limit {
 		return true
 	}
-	var longest *Guest
+	var longest *ClientConn
 	var since time.Time
-	for g := range l.guests {
+	for g := range l.conns {
 		if at, idle := g.idleSince(); idle && (longest == nil || at.Before(since)) {
 			longest, since = g, at
 		}
@@ -238,7 +238,7 @@
 		return false
 	}
 	l.counts.closed.Add(1)
-	delete(l.guests, longest)
+	delete(l.conns, longest)
 	_ = longest.Close()
 	return true
 }
@@ -262,7 +262,7 @@
 func (l *Listener) Poke() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for g := range l.guests {
+	for g := range l.conns {
 		_ = g.SetReadDeadline(time.Now())
 	}
 }
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -165,7 +165,7 @@
 }
 
 // Serve speaks with one client until it leaves or ctx ends.
-func (f *RestClients) Serve(ctx context.Context, g *Guest) {
+func (f *RestClients) Serve(ctx context.Context, g *ClientConn) {
 	l := newLink(g, shortBuffer)
 	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -227,7 +227,7 @@
 	}
 }
 
-func (f *RestClients) answer(ctx context.Context, g *Guest, msg any, at time.Time) (out []byte, last bool) {
+func (f *RestClients) answer(ctx context.Context, g *ClientConn, msg any, at time.Time) (out []byte, last bool) {
 	switch m := msg.(type) {
 	case rest.Statement:
 		return f.statement(ctx, g, m, at), m.Close
@@ -250,7 +250,7 @@
 }
 
 // statement starts a query, or joins the one that the key names.
-func (f *RestClients) statement(ctx context.Context, g *Guest, m rest.Statement, at time.Time) []byte {
+func (f *RestClients) statement(ctx context.Context, g *ClientConn, m rest.Statement, at time.Time) []byte {
 	n, ok := f.Core.Class(m.Class)
 	if !ok {
 		return rest.Plain(400, "X-Trino-Source names no class of queries")
