Closes and the end of a front: nothing is taken after the claim, nothing before it is lost

Crossings and their lines before: - Listener.room closed the longest idle connection from another goroutine, while its reader may have read a request and not yet booked it: it was sent on and its answer had no way back. Now a connection is claimed for closing under its lock, only while nothing is open, read or waiting unread on it, and no request is taken after the claim. - A drain's and an idle close looked at 'open' and not at the socket, and closed over a request that had come: a reset. Now what came before the claim is served; after it this side ends its writing, drops what still comes for 50 ms (the protocol's time within which a client sends a crossing request again) and closes. - Program.close ended the connections and the core in one breath after a last look at what is open: a request read between the two was sent on and lost. Now the fronts end first, each connection once nothing is open on it, the backlog taken; the core goes last. What is open at the hand-back is cut off just after it. - A client writing its request as the last look came was cut off half way; it is waited for, until the hand-back. - Serve slept 20 ms after each 2 KB with something that can't be taken, and read nothing meanwhile: behind a flood of 64 KB a close or cancel was heard 640 ms late, and what had waited could be sent. It is read on now; cancels act as they are read; more unhandled than a line may hold ends the connection. Both fronts read through ClientConn.read, so each guard is one place. Beside it: an idle connection that this side closes for another holds its descriptor up to 50 ms more, four at a time at most.

Tests: internal/transport/crossings_test.go, over loopback sockets, with the driver's own looks as barriers.

--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -16,7 +16,6 @@
 	"aniseloft/decide"
 	"aniseloft/internal/oncall"
 	"aniseloft/internal/protocol/admin"
-	"aniseloft/internal/transport"
 )
 
 const (
@@ -168,6 +167,14 @@
 	return d.d.Take(at, expect)
 }
 
+// cutOff is when connections are closed whatever is open on them: all that was open has been answered
+// by the hand-back, a moment before.
+func (d *drain) cutOff() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.d.HandBack().Add(pokeAgain)
+}
+
 // handOver begins the end after SIGTERM: clients are sent away, and what is still open
 // when the kill may come is answered. Where another process of this coordinator lives,
 // no connection is taken any more: an upgrade's successor is at the clients' address,
@@ -187,9 +194,8 @@
 		return
 	}
 	p.log.Info("a successor serves at the clients' address: no new connections here")
-	p.front.StopAccepting()
-	if p.restFront != nil {
-		p.restFront.StopAccepting()
+	for _, f := range p.fronts() {
+		f.StopAccepting()
 	}
 }
 
@@ -289,11 +295,7 @@
 // poke wakes the fronts' readers, that each connection with nothing open goes now; a
 // second look a little later finds those that were between two reads.
 func (p *Program) poke() {
-	fronts := []*transport.Listener{p.front}
-	if p.restFront != nil {
-		fronts = append(fronts, p.restFront)
-	}
-	for _, f := range fronts {
+	for _, f := range p.fronts() {
 		f.Poke()
 		time.AfterFunc(pokeAgain, f.Poke)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/logconf"
 	"aniseloft/internal/nodeconf"
+	"aniseloft/internal/oncall"
 	"aniseloft/internal/ownership"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/restconf"
@@ -313,26 +315,45 @@
 	return m
 }
 
+// fronts are those that take clients.
+func (p *Program) fronts() []*transport.Listener {
+	if p.restFront == nil {
+		return []*transport.Listener{p.front}
+	}
+	return []*transport.Listener{p.front, p.restFront}
+}
+
 // idle tells whether nothing is open: no query without its answer, no end unrecorded.
-func (p *Program) idle() bool {
-	return p.core.Open() == 0 && time.Since(p.core.LastTaken()) >= drainQuiet && (p.rest == nil || p.rest.Live() == 0)
+func (p *Program) idle() bool { return p.core.Open() == 0 && (p.rest == nil || p.rest.Live() == 0) }
+
+// quiet tells whether nothing was taken for a while, and no client is writing a request: those that
+// still are when all that was open has been handed back wait no longer.
+func (p *Program) quiet() bool {
+	if time.Since(p.core.LastTaken()) < drainQuiet {
+		return false
+	}
+	return time.Since(p.since) >= oncall.HandBackAfter || !slices.ContainsFunc(p.fronts(), (*transport.Listener).Writing)
 }
 
 // drained tells whether the program, once told to end, has taken for as long as
 // the platform sends and finished what was open.
 func (p *Program) drained() bool {
-	return p.Phase() == Draining && time.Since(p.since) >= drainLeast && p.idle() && p.handedOn()
+	return p.Phase() == Draining && time.Since(p.since) >= drainLeast && p.idle() && p.quiet() && p.handedOn()
 }
 
-// close ends the parts in the order in which they feed each other.
+// close ends the parts in the order in which they feed each other: what crosses the end at the fronts
+// is answered before the core goes.
 func (p *Program) close() {
-	p.front.Close()
-	if p.restFront != nil {
-		p.restFront.Close()
+	by := p.drain.cutOff()
+	for _, f := range p.fronts() {
+		f.Close(by)
+	}
+	for !p.idle() && time.Now().Before(by) { // a query of the second front is tied to no connection
+		time.Sleep(drainPoll)
 	}
 	p.stop()
 	if p.admin != nil {
-		p.admin.Close()
+		p.admin.Close(by)
 	}
 	if p.store != nil {
 		if err := p.store.Close(); err != nil {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +20,7 @@
 	clientWrite  = 5 * time.Second // an answer that a client does not read ends its connection
 	maxPerClient = 32              // open requests on a connection
 	outQueue     = 4 * maxPerClient
-	// rejectRest is how long a connection goes unread after messages that can't be
+	// rejectRest is how long nothing of a connection is handled after messages that can't be
 	// taken: a client that sends such at full speed must not fill the core.
 	rejectRest = 20 * time.Millisecond
 	// leaveLook is how often a reader looks whether its connection may go, during a drain.
@@ -42,14 +44,20 @@
 
 // client is one connection.
 type client struct {
-	front  *Clients
-	conn  *ClientConn
-	out    chan []byte
-	queued atomic.Int64 // bytes in out
-	mu     sync.Mutex
-	dead   bool // nothing more is queued for it
+	front    *Clients
+	conn     *ClientConn
+	out      chan []byte
+	queued   atomic.Int64 // bytes in out
+	mu       sync.Mutex
+	dead     bool // nothing more is queued for it
 	rejected bool // sent what can't be taken, since the last read
-	open   map[string]*reply
+	open     map[string]*reply
+	// What its reader alone uses: the machine, what it has read and not handled, the bytes of that, and
+	// what of the budget it holds.
+	machine jsonrpc.Machine
+	ahead   []chunk
+	size    int
+	held    int
 }
 
 // reply is the one answer owed to an id.
@@ -59,51 +67,135 @@
 	ticket routing.Ticket
 }
 
+// chunk is what one read brought, not yet handled.
+type chunk struct {
+	msgs []any
+	size int       // in bytes, where it waits behind others
+	at   time.Time // when its last byte was read
+}
+
+// errFlood says that too much came behind messages that can't be taken.
+var errFlood = errors.New("too much unhandled")
+
 // Serve speaks with one client until it leaves or ctx ends.
-func (f *Clients) Serve(ctx context.Context, g *ClientConn) {
-	k := &client{front: f, conn: g, out: make(chan []byte, outQueue), open: map[string]*reply{}}
-	l := newLink(g, shortBuffer)
+func (f *Clients) Serve(ctx context.Context, c *ClientConn) {
+	k := &client{front: f, conn: c, out: make(chan []byte, outQueue), open: map[string]*reply{}}
+	l := newLink(c, shortBuffer)
 	written := make(chan struct{})
 	go func() { defer close(written); k.writeAll(l) }()
-	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
-	var m jsonrpc.Machine
-	for held := 0; ctx.Err() == nil; {
-		leaving := f.leaving()
-		if leaving && g.quiet() {
-			g.leave()
-			break
-		}
-		due := g.due(clientIdle)
-		if look := time.Now().Add(leaveLook); leaving && look.Before(due) {
-			due = look
+	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	err := k.converse(ctx, l)
+	stop()
+	f.Log.Debug("client connection closed", "err", err)
+	f.In.move(k.held, 0)
+	k.leave()
+	<-written
+	if errors.Is(err, errFlood) || errors.Is(err, jsonrpc.ErrLineTooLong) {
+		linger(c.Conn, crossing, lingerMost) // it may still be sending; why it is cut off is on its way
+	}
+}
+
+// converse takes what the client sends until it leaves or is to go, and tells why.
+func (k *client) converse(ctx context.Context, l *link) error {
+	for {
+		b, at, err := k.conn.read(ctx, l, clientIdle, k.front.Leaving)
+		if err != nil {
+			return err
 		}
-		b, err := l.read(ctx, due)
-		at := time.Now()
-		if err != nil && isTimeout(err) && (at.Before(g.due(clientIdle)) || leaving || f.leaving()) {
-			continue
+		err = k.feed(b, at, false)
+		for len(k.ahead) > 0 {
+			now := k.ahead[0]
+			k.ahead = k.ahead[1:]
+			for _, msg := range now.msgs {
+				k.take(msg, now.at)
+			}
+			k.size -= now.size
+			k.conn.unhandled(-len(now.msgs))
+			if err == nil && k.rejected {
+				err = k.rest(ctx, l)
+			}
+			if err != nil {
+				return err
+			}
 		}
-		if err != nil {
-			break
+		k.book()
+	}
+}
+
+// feed cuts what was read into messages, which are handled now or wait behind others. Those that
+// withdraw a request act at once, whatever waits before them.
+func (k *client) feed(b []byte, at time.Time, waits bool) error {
+	msgs, err := k.machine.Feed(b)
+	k.conn.said(len(msgs) > 0, k.machine.Held() > 0)
+	now := chunk{at: at}
+	if waits {
+		now.size = len(b)
+	}
+	for _, msg := range msgs {
+		if m, ok := msg.(jsonrpc.Cancel); ok {
+			k.cancel(m.ID, &now)
+		} else {
+			now.msgs = append(now.msgs, msg)
 		}
-		msgs, err := m.Feed(b)
-		for _, msg := range msgs {
-			k.take(msg, at)
+	}
+	k.conn.unhandled(len(now.msgs))
+	k.size += now.size
+	k.ahead = append(k.ahead, now)
+	if fits := k.book(); err == nil && (!fits || k.size > jsonrpc.MaxLine) {
+		err = errFlood
+	}
+	return err
+}
+
+// book books what the connection holds of the budget and tells whether it is within.
+func (k *client) book() bool {
+	was := k.held
+	k.held = k.machine.Held() + k.size
+	return k.front.In.move(was, k.held)
+}
+
+// cancel withdraws a request: one that is open, or one that waits to be handled, in the latest chunk or
+// before it.
+func (k *client) cancel(id string, latest *chunk) {
+	k.mu.Lock()
+	r := k.close(id)
+	k.mu.Unlock()
+	if r != nil {
+		k.front.Core.Gone(r.ticket)
+	}
+	latest.drop(id)
+	for i := range k.ahead {
+		k.conn.unhandled(-k.ahead[i].drop(id))
+	}
+}
+
+// drop takes out the requests under an id and tells how many there were.
+func (c *chunk) drop(id string) int {
+	was := len(c.msgs)
+	c.msgs = slices.DeleteFunc(c.msgs, func(msg any) bool {
+		r, ok := msg.(jsonrpc.Request)
+		return ok && r.ID == id
+	})
+	return was - len(c.msgs)
+}
+
+// rest lets a connection that sent what can't be taken wait, that such at full speed does not fill the
+// core. It is read meanwhile: a client that leaves or withdraws something is heard behind all that it sent.
+func (k *client) rest(ctx context.Context, l *link) error {
+	k.rejected = false
+	until := time.Now().Add(rejectRest)
+	for {
+		b, err := l.read(ctx, until)
+		if ctx.Err() != nil || isTimeout(err) {
+			return nil
 		}
-		g.said(len(msgs) > 0, m.Held() > 0)
-		fits := f.In.move(held, m.Held())
-		if held = m.Held(); err != nil || !fits {
-			f.Log.Debug("client connection closed", "err", err, "fits", fits)
-			break
+		if err == nil {
+			err = k.feed(b, time.Now(), true)
 		}
-		if k.rejected {
-			k.rejected = false
-			time.Sleep(rejectRest)
+		if err != nil {
+			return err
 		}
 	}
-	stop()
-	f.In.move(m.Held(), 0)
-	k.leave()
-	<-written
 }
 
 func (f *Clients) leaving() bool { return f.Leaving != nil && f.Leaving() }
@@ -115,13 +207,6 @@
 		if !k.inUse(msg.ID) {
 			k.request(msg, at)
 		}
-	case jsonrpc.Cancel:
-		k.mu.Lock()
-		r := k.close(msg.ID)
-		k.mu.Unlock()
-		if r != nil {
-			k.front.Core.Gone(r.ticket)
-		}
 	case jsonrpc.Alive:
 		if !k.inUse(msg.ID) {
 			k.send(jsonrpc.AliveAnswer(msg.ID, k.front.Pass()))
@@ -159,7 +244,7 @@
 	r := k.open[id]
 	if r != nil {
 		delete(k.open, id)
-		k.conn.opened(-1)
+		k.conn.end()
 	}
 	return r
 }
@@ -188,11 +273,14 @@
 	r := &reply{c: k, id: m.ID}
 	k.mu.Lock()
 	full := len(k.open) >= maxPerClient
-	if !full {
+	taken := !full && k.conn.begin()
+	if taken {
 		k.open[m.ID] = r
-		k.conn.opened(1)
 	}
 	k.mu.Unlock()
+	if !full && !taken {
+		return
+	}
 	if full {
 		k.reject(jsonrpc.Refused(m.ID, "too many open requests on this connection", core.Settings().MaxComeBack))
 		return
@@ -221,7 +309,7 @@
 	r.c.close(r.id)
 	r.c.queue(line)
 	if len(r.c.open) == 0 && r.c.front.leaving() {
-		_ = r.c.conn.SetReadDeadline(time.Now()) // its reader is to close it
+		r.c.conn.wake() // its reader is to close it
 	}
 }
 
--- /dev/null
+++ b/internal/transport/crossings_test.go
@@ -0,0 +1,373 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/decide"
+	"aniseloft/internal/routing"
+)
+
+// patience bounds every wait for something that must come; no verdict hangs on how soon.
+const patience = 20 * time.Second
+
+func receive[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		require.FailNow(t, "nothing came")
+	}
+	return v
+}
+
+// playedEngine holds each attempt until the test ends it.
+type playedEngine struct{ runs chan chan routing.Result }
+
+func (p *playedEngine) Run(ctx context.Context, a routing.Attempt) routing.Result {
+	end := make(chan routing.Result, 1)
+	p.runs <- end
+	select {
+	case r := <-end:
+		return r
+	case <-ctx.Done():
+		return routing.Result{Outcome: decide.OutcomeCancelled}
+	}
+}
+func (p *playedEngine) Prioritize(context.Context, string, int) error { return nil }
+func (p *playedEngine) Probe(context.Context) (decide.Outcome, *decide.Load) {
+	return decide.OutcomeServed, nil
+}
+func (p *playedEngine) Connections() (busy, idle int)        { return 0, 0 }
+func (p *playedEngine) Close()                               {}
+func (p *playedEngine) Engine(routing.Member) routing.Engine { return p }
+
+var served = routing.Result{Outcome: decide.OutcomeServed, Body: []byte("a\tb\tc\n")}
+
+// frontOf is the JSON-RPC front over a core with one played engine, or with none while listed is false.
+func frontOf(t *testing.T, listed bool) (*Clients, *playedEngine) {
+	p := &playedEngine{runs: make(chan chan routing.Result, 64)}
+	core, err := routing.NewCore(decide.Settings{Gateways: 1, Tick: 5, MaxAttempts: 1, MayCancel: true, Kinds: []decide.Kind{{Cores: 16}},
+		Classes: []decide.Class{{Name: "look", Aim: 8000, Deadline: 10000, Threads: 1, Worth: 1}}}, 1, p, slog.New(slog.DiscardHandler), 1<<20)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	over := make(chan struct{})
+	go func() { defer close(over); core.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-over })
+	if listed {
+		core.List(decide.ListFull, []routing.Member{{Name: "a", Addr: "127.0.0.1:1", EngineEntry: decide.EngineEntry{ID: 1, State: decide.EngineReady}}})
+	}
+	return &Clients{Core: core, Pass: func() bool { return true }, In: NewBudget(4 << 20), Out: NewBudget(4 << 20), Log: slog.New(slog.DiscardHandler)}, p
+}
+
+// listenerOf serves what the test hands it by start; nothing is accepted from its own address.
+func listenerOf(t *testing.T, limit int, serve func(context.Context, *ClientConn)) *Listener {
+	l, err := Listen("127.0.0.1:0", limit, slog.New(slog.DiscardHandler), serve)
+	require.NoError(t, err)
+	go l.Run()
+	t.Cleanup(func() { l.Close(time.Now()) })
+	return l
+}
+
+// pair is a connection over loopback: the client's end and this side's.
+func pair(t *testing.T) (client, server *net.TCPConn) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	s, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close(); _ = s.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	return c.(*net.TCPConn), s.(*net.TCPConn)
+}
+
+func write(t *testing.T, c io.Writer, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+}
+
+// arrived waits until bytes wait unread at the other end.
+func arrived(t *testing.T, at net.Conn) {
+	t.Helper()
+	require.Eventually(t, func() bool { return unread(at) }, patience, 100*time.Microsecond)
+}
+
+var calls atomic.Int64
+
+func look(id int) string {
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"look","params":{"call":"%016x","ttl":9000,"work":5,"ram":0,"doc":%q}}`+"\n",
+		id, calls.Add(1), base64.StdEncoding.EncodeToString([]byte("x")))
+}
+
+const cancelFirst = `{"jsonrpc":"2.0","method":"cancelRequest","params":{"id":1}}` + "\n"
+
+// floodLine can't be taken; so many of them are a flood of 64 KB that fits the kernel's buffers.
+var floodLine = strings.Repeat("x", 99) + "\n"
+
+const floodLines = 650
+
+// A client that sent wrong messages and left was heard to have left only behind all of them, 2 KB in 20 ms: its request,
+// which waited, could be sent seconds after.
+func TestALeavingIsHeardBehindAFlood(t *testing.T) {
+	front, _ := frontOf(t, false)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	write(t, client, look(1)+strings.Repeat(floodLine, floodLines))
+	require.NoError(t, client.CloseWrite())
+	arrived(t, server)
+	l.start(server)
+	all, err := io.ReadAll(client)
+	require.NoError(t, err, "it ends with a close and no reset")
+	require.Less(t, strings.Count(string(all), "\n"), floodLines/4, "the rest was read, but not handled, when its end was seen")
+	front.Core.Beliefs() // all that was posted before is handled
+	require.Zero(t, front.Core.Open(), "withdrawn")
+}
+
+// The same for a request that is withdrawn behind a flood, on a connection that stays.
+func TestACancelIsHeardBehindAFlood(t *testing.T) {
+	front, _ := frontOf(t, false)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	write(t, client, look(1)+strings.Repeat(floodLine, floodLines)+cancelFirst)
+	arrived(t, server)
+	l.start(server)
+	r := bufio.NewReader(client)
+	for n := range floodLines {
+		line, err := r.ReadString('\n')
+		require.NoError(t, err)
+		require.Contains(t, line, `"code":-32700`, "every wrong message has its answer")
+		if n == floodLines/4 {
+			front.Core.Beliefs()
+			require.Zero(t, front.Core.Open(), "withdrawn while most wait")
+		}
+	}
+	write(t, client, `{"jsonrpc":"2.0","id":9,"method":"alive"}`+"\n")
+	line, err := r.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, `"id":9,"result"`)
+}
+
+// A request that waits to be handled behind wrong messages and is withdrawn there is never taken.
+func TestARequestWithdrawnBeforeItIsHandledIsNotTaken(t *testing.T) {
+	front, p := frontOf(t, true)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	write(t, client, strings.Repeat(floodLine, 40)+look(1)+cancelFirst+`{"jsonrpc":"2.0","id":9,"method":"alive"}`+"\n")
+	arrived(t, server)
+	l.start(server)
+	r := bufio.NewReader(client)
+	for {
+		line, err := r.ReadString('\n')
+		require.NoError(t, err)
+		if strings.Contains(line, `"id":9`) {
+			break
+		}
+		require.Contains(t, line, `"code":-32700`)
+	}
+	front.Core.Beliefs()
+	require.Empty(t, p.runs)
+	require.Zero(t, front.Core.Open())
+}
+
+// A flood beyond what a line may hold ends its connection, with the answers that were due before.
+func TestAFloodBeyondALineIsCutOff(t *testing.T) {
+	front, _ := frontOf(t, false)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	go func() { // it ends with the connection
+		for {
+			if _, err := io.WriteString(client, strings.Repeat(floodLine, 100)); err != nil {
+				return
+			}
+		}
+	}()
+	l.start(server)
+	n, err := io.Copy(io.Discard, client)
+	require.Positive(t, n)
+	if err != nil {
+		require.NotErrorIs(t, err, context.DeadlineExceeded)
+		var timeout net.Error
+		require.False(t, errors.As(err, &timeout) && timeout.Timeout(), "it was never closed")
+	}
+	require.Equal(t, int64(4<<20), front.In.left.Load(), "nothing stays booked")
+}
+
+// Where a connection is closed for another in the moment that its request is read, the request was taken and sent on,
+// and its answer had no way back.
+func TestARequestThatCrossesItsCloseForAnotherIsNotTaken(t *testing.T) {
+	read, goOn := make(chan string), make(chan struct{})
+	took := map[string]chan bool{"one\n": make(chan bool, 1), "two\n": make(chan bool, 1)}
+	l := listenerOf(t, 1, func(_ context.Context, c *ClientConn) {
+		line, _ := bufio.NewReader(c.Conn).ReadString('\n')
+		read <- line
+		<-goOn
+		took[line] <- c.begin()
+	})
+	first, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = first.Close() }()
+	write(t, first, "one\n")
+	require.Equal(t, "one\n", receive(t, read))
+	second, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = second.Close() }()
+	write(t, second, "two\n")
+	require.Equal(t, "two\n", receive(t, read), "the first went for it, read and not yet taken")
+	close(goOn)
+	require.False(t, receive(t, took["one\n"]), "it was closed")
+	require.True(t, receive(t, took["two\n"]))
+	require.NoError(t, first.SetReadDeadline(time.Now().Add(patience)))
+	_, err = first.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "a close, and no reset")
+}
+
+// Bytes that wait on a connection that seems idle are a request that came in time: whatever the reason, it is not closed
+// over them.
+func TestNoCloseIsClaimedOverWhatWaitsUnread(t *testing.T) {
+	for why := range closeSpare + 1 {
+		client, server := pair(t)
+		c := &ClientConn{Conn: server, of: &Listener{}, whole: true}
+		write(t, client, "x")
+		arrived(t, server)
+		require.False(t, c.claim(why), "%d: unread", why)
+		_, err := server.Read(make([]byte, 1))
+		require.NoError(t, err)
+		require.True(t, c.begin())
+		require.False(t, c.claim(why), "%d: open", why)
+		c.end()
+		c.unhandled(1)
+		require.False(t, c.claim(why), "%d: read and not handled", why)
+		c.unhandled(-1)
+		require.True(t, c.claim(why))
+		require.False(t, c.begin(), "%d: after the claim nothing is taken", why)
+	}
+}
+
+// crossed is a connection on which its client's bytes arrive in the very moment of the close, after the last look.
+type crossed struct {
+	*net.TCPConn
+	cross func()
+}
+
+func (c *crossed) CloseWrite() error { c.cross(); return c.TCPConn.CloseWrite() }
+func (c *crossed) Close() error      { c.cross(); return c.TCPConn.Close() }
+
+// Both fronts: a message that each answers, and the way to serve a connection.
+type served2 struct {
+	name    string
+	serve   func(leaving func() bool) func(context.Context, *ClientConn)
+	message string
+	answer  string
+}
+
+func bothFronts(t *testing.T) []served2 {
+	return []served2{
+		{"jsonrpc", func(leaving func() bool) func(context.Context, *ClientConn) {
+			front, _ := frontOf(t, false)
+			front.Leaving = leaving
+			return front.Serve
+		}, `{"jsonrpc":"2.0","id":1,"method":"alive"}` + "\n", `"pass":true`},
+		{"rest", func(leaving func() bool) func(context.Context, *ClientConn) {
+			front := &RestClients{Pass: func() bool { return true }, Leaving: leaving, In: NewBudget(1 << 20), Log: slog.New(slog.DiscardHandler)}
+			return front.Serve
+		}, "GET /v1/info HTTP/1.1\r\nHost: a\r\n\r\n", `"starting":false`},
+	}
+}
+
+// A drain looks at a resting connection in the moment that a request comes: it was closed over it, and reset.
+func TestARequestThatCameBeforeTheLookIsAnsweredInADrain(t *testing.T) {
+	for _, f := range bothFronts(t) {
+		client, server := pair(t)
+		var looks atomic.Int64
+		l := listenerOf(t, 4, f.serve(func() bool {
+			switch looks.Add(1) {
+			case 1: // the connection rests yet
+				return false
+			case 2: // after its first message: the second one comes just now
+				write(t, client, f.message)
+				arrived(t, server)
+			}
+			return true
+		}))
+		l.start(server)
+		write(t, client, f.message)
+		all, err := io.ReadAll(client)
+		require.NoError(t, err, f.name)
+		require.Equal(t, 2, strings.Count(string(all), f.answer), "%s: %s", f.name, all)
+	}
+}
+
+// A request that comes after the last look crosses the close: it is not taken, and its client sees a close, by which it
+// sends the request again, rather than a reset, which may take answers along.
+func TestARequestThatCrossesTheCloseMeetsNoReset(t *testing.T) {
+	for _, f := range bothFronts(t) {
+		client, server := pair(t)
+		var looks, crossings atomic.Int64
+		c := &crossed{server, func() {
+			if crossings.Add(1) == 1 {
+				write(t, client, f.message)
+				arrived(t, server)
+			}
+		}}
+		l := listenerOf(t, 4, f.serve(func() bool { return looks.Add(1) > 1 }))
+		l.start(c)
+		write(t, client, f.message)
+		r := bufio.NewReader(client)
+		all, err := io.ReadAll(r)
+		require.NoError(t, err, f.name)
+		require.Equal(t, 1, strings.Count(string(all), f.answer), "%s: the second is not taken: %s", f.name, all)
+		require.Positive(t, crossings.Load())
+	}
+}
+
+// The end of a front cut off what was open: a request that was read as the program looked for the last time was sent on,
+// and its answer had no way back.
+func TestTheEndOfAFrontWaitsForWhatIsOpen(t *testing.T) {
+	front, p := frontOf(t, true)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	l.start(server)
+	write(t, client, look(1))
+	end := receive(t, p.runs)
+	closed := make(chan struct{})
+	go func() { defer close(closed); l.Close(time.Now().Add(patience)) }()
+	<-l.ctx.Done()
+	write(t, client, look(2)) // sent on a connection that stands, before anything told the client
+	second := receive(t, p.runs)
+	end <- served
+	second <- served
+	all, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.Equal(t, 2, strings.Count(string(all), `"result"`), string(all))
+	receive(t, closed)
+}
+
+// What is open when its time is up is cut off: an end is never put off for good.
+func TestTheEndOfAFrontHasItsTime(t *testing.T) {
+	front, p := frontOf(t, true)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	l.start(server)
+	write(t, client, look(1))
+	receive(t, p.runs)
+	l.Close(time.Now())
+	_, err := io.ReadAll(client)
+	require.False(t, isTimeout(err))
+	front.Core.Beliefs()
+	require.Zero(t, front.Core.Open())
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -277,25 +277,32 @@
 
 // quiet tells whether an idle connection still stands: neither closed by the
 // other side nor with bytes that no call asked for. What it can't see is a
-// close that is still on its way. It looks by Control, as Read would refuse a
-// connection whose last call's deadline has passed, and so every one that idled
-// longer than an answer may take.
+// close that is still on its way.
 func quiet(c net.Conn) bool {
+	_, err := peek(c)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks, without waiting, for a byte that nobody has read: n is 1 where there is one, 0 with no
+// error where the other side has closed, and the error is EAGAIN where the connection is silent. It looks
+// by Control, as Read would refuse a connection whose last call's deadline has passed.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	stands := false
-	err = raw.Control(func(fd uintptr) {
+	cerr := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stands = errors.Is(rerr, syscall.EAGAIN)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && stands
+	if cerr != nil {
+		return 0, cerr
+	}
+	return max(n, 0), err
 }
 
 // write sends bytes by the deadline. A connection keeps the deadlines of the
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"errors"
 	"log/slog"
-	"net"
 	"sync"
 	"time"
 
@@ -34,8 +33,8 @@
 	purgeEach  = time.Minute
 	// abandonWithin is how long a start waits for a record that another coordinator holds.
 	abandonWithin = 10 * time.Second
-	lingerFor     = time.Second
-	lingerMost    = 1 << 20
+	// lingerFor is how long a client that is still sending a bad request may read why it is cut off.
+	lingerFor = time.Second
 )
 
 var pagesJSON = jsoniter.ConfigCompatibleWithStandardLibrary
@@ -165,37 +164,26 @@
 }
 
 // Serve speaks with one client until it leaves or ctx ends.
-func (f *RestClients) Serve(ctx context.Context, g *ClientConn) {
-	l := newLink(g, shortBuffer)
-	stop := context.AfterFunc(ctx, func() { _ = g.SetReadDeadline(time.Unix(1, 0)) })
+func (f *RestClients) Serve(ctx context.Context, c *ClientConn) {
+	l := newLink(c, shortBuffer)
+	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	m, held := rest.NewMachine(), 0
 	defer func() { f.In.move(held, 0) }()
-	for ctx.Err() == nil {
-		leaving := f.Leaving != nil && f.Leaving()
-		if leaving && g.quiet() {
-			g.leave()
-			return
-		}
-		due := g.due(restIdle)
-		if look := time.Now().Add(leaveLook); leaving && look.Before(due) {
-			due = look
-		}
-		b, err := l.read(ctx, due)
-		if err != nil && isTimeout(err) && time.Now().Before(g.due(restIdle)) {
-			continue // woken to look whether to go on, or its look came
-		}
+	for {
+		b, at, err := c.read(ctx, l, restIdle, f.Leaving)
 		if err != nil {
 			return
 		}
-		at := time.Now()
 		msgs, err := m.Feed(b)
-		g.said(len(msgs) > 0, m.Held() > 0)
+		c.said(len(msgs) > 0, m.Held() > 0)
 		for _, msg := range msgs {
-			g.opened(1)
-			out, last := f.answer(ctx, g, msg, at)
+			if !c.begin() { // its client sees the close cross it
+				return
+			}
+			out, last := f.answer(context.WithoutCancel(ctx), c, msg, at)
 			werr := l.write(context.WithoutCancel(ctx), out, time.Now().Add(restWrite))
-			g.opened(-1)
+			c.end()
 			if werr != nil || last && err == nil {
 				return
 			}
@@ -205,25 +193,9 @@
 			return
 		}
 		if err != nil {
-			linger(ctx, g.Conn, l)
-			return
-		}
-	}
-}
-
-// linger lets a client that is still sending read why it is cut off: closing on
-// bytes unread would reset the connection and lose the answer.
-func linger(ctx context.Context, c net.Conn, l *link) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.CloseWrite()
-	}
-	deadline := time.Now().Add(lingerFor)
-	for left := lingerMost; left > 0; {
-		b, err := l.read(ctx, deadline)
-		if err != nil {
+			linger(c.Conn, lingerFor, lingerMost)
 			return
 		}
-		left -= len(b)
 	}
 }
 
