An attempt waits behind the withdrawal of an earlier one under its call at the address

Engines know an attempt by its call alone: where the next went to the same engine (the only one, or a new engine at an old one's address), a DELETE that was read late ended it. Change: withdrawals, a table by address and call in the pool. An attempt waits for the end of what withdraws the one before; where that was sent and never answered, nothing begins there under that call and the module chooses again. What could not connect withdraws nothing. Entries go when answered, or with the time of their request. Checked in the other driver: a REST engine's withdrawal names the address that it gave for that attempt, so none crosses. Tests: TestAFurtherAttemptDoesNotPassTheWithdrawalOfTheOneBefore fails with the wait taken out (the second POST comes while the DELETE is unread); TestAFurtherAttemptFollowsItsAnsweredWithdrawal.

--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -371,3 +373,84 @@
 	front.Core.Beliefs()
 	require.Zero(t, front.Core.Open())
 }
+
+// pagedEngine is a stand-in over a loopback socket for an engine of the platform's protocol; what it does with each call
+// is the test's, under its path, or "POST".
+func pagedEngine(t *testing.T, handle func(what string, w http.ResponseWriter, r *http.Request)) *paged {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		handle(r.Method, w, r)
+	}))
+	t.Cleanup(srv.Close)
+	pool := NewPool(8, patience, patience, slog.New(slog.DiscardHandler))
+	addr := srv.Listener.Addr().String()
+	return &paged{addr: addr, lane: pool.lane("a", addr)}
+}
+
+func attempt(call string) routing.Attempt {
+	return routing.Attempt{Call: call, Class: "look", Statement: []byte("x"), Priority: -1, Ready: func() bool { return true },
+		Note: func(decide.ProgressKind, float64) {}}
+}
+
+// An attempt was given up beside the next one's dial: where that went to the same engine, the withdrawal could be read
+// after the new attempt had begun under the same call, and ended it.
+func TestAFurtherAttemptDoesNotPassTheWithdrawalOfTheOneBefore(t *testing.T) {
+	var posts atomic.Int64
+	again, withdrawing := make(chan struct{}), make(chan struct{})
+	p := pagedEngine(t, func(what string, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case what == "DELETE":
+			close(withdrawing)
+			select { // it is read late: until the coordinator gives up asking, or the new attempt is here
+			case <-again:
+			case <-r.Context().Done():
+			}
+		case what == "POST" && posts.Add(1) == 2:
+			close(again)
+			fallthrough
+		default: // nothing that can be used: the attempt is lost
+			w.WriteHeader(418)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	require.Equal(t, decide.OutcomeLost, p.Run(ctx, attempt("1")).Outcome)
+	receive(t, withdrawing)
+	second := p.Run(ctx, attempt("1"))
+	require.Equal(t, decide.OutcomeNotSent, second.Outcome, "its withdrawal was never answered")
+	require.Equal(t, int64(1), posts.Load())
+	other := p.Run(ctx, attempt("2"))
+	require.Equal(t, decide.OutcomeLost, other.Outcome, "another call's is no matter")
+	require.Equal(t, int64(2), posts.Load())
+}
+
+// Once the withdrawal is answered the next attempt begins, also where another engine has the address.
+func TestAFurtherAttemptFollowsItsAnsweredWithdrawal(t *testing.T) {
+	withdrawing, goOn := make(chan struct{}), make(chan struct{})
+	var order []string // the handlers take turns: each waits for the one before
+	p := pagedEngine(t, func(what string, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case what == "DELETE":
+			close(withdrawing)
+			<-goOn
+			order = append(order, what)
+			w.WriteHeader(204)
+		case what == "POST" && len(order) > 0:
+			order = append(order, what)
+			w.Header().Set("X-Batches", "1")
+			_, _ = io.WriteString(w, "a\tb\tc\n")
+		default:
+			w.WriteHeader(418)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	require.Equal(t, decide.OutcomeLost, p.Run(ctx, attempt("1")).Outcome)
+	receive(t, withdrawing)
+	moved := &paged{addr: p.addr, lane: p.lane.pool.lane("b", p.addr)}
+	end := make(chan routing.Result, 1)
+	go func() { end <- moved.Run(ctx, attempt("1")) }()
+	close(goOn)
+	require.Equal(t, decide.OutcomeServed, receive(t, end).Outcome)
+	require.Equal(t, []string{"DELETE", "POST"}, order)
+}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -30,6 +30,9 @@
 
 // Run carries one attempt out on a connection of its own.
 func (p *paged) Run(ctx context.Context, a routing.Attempt) routing.Result {
+	if err := p.lane.pool.withdrawn.wait(ctx, p.addr, a.Call); err != nil {
+		return routing.Result{Outcome: decide.OutcomeNotSent, Why: err.Error()}
+	}
 	c, err := p.lane.get(ctx)
 	if err != nil {
 		return notReached(ctx, err)
@@ -49,14 +52,17 @@
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// The client's answer is due now: it must not wait for the engine's word on the cancel.
-		go p.giveUp(a.Call)
+		go p.giveUp(a.Call, deadline)()
 		return routing.Result{Outcome: decide.OutcomeTimeout, Why: "deadline"}
 	}
 	if ctx.Err() != nil {
-		p.giveUp(a.Call) // first, as the query may come here again under the same id
+		p.giveUp(a.Call, deadline)()
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
-	return p.lost(err, func() { p.giveUp(a.Call) })
+	if errors.Is(err, errUnreachable) {
+		return p.lost(err, func() {})
+	}
+	return p.lost(err, p.giveUp(a.Call, deadline))
 }
 
 // lost says what an attempt came to whose answers were lost. Whether it ran is not known,
@@ -197,11 +203,16 @@
 		Latency: get("latency_ms"), Memory: get("x0"), Disk: get("x1")}
 }
 
-// giveUp tells the engine that nobody waits any more.
-func (p *paged) giveUp(call string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	_, _, _ = p.single(ctx, engine.Delete(p.addr, call))
+// giveUp returns what tells the engine that nobody waits for a call any more. From now on a further
+// attempt under the call, which may come until the given time, waits here for the end of that.
+func (p *paged) giveUp(call string, until time.Time) func() {
+	end := p.lane.pool.withdrawn.begin(p.addr, call, until)
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		_, _, err := p.single(ctx, engine.Delete(p.addr, call))
+		end(err)
+	}
 }
 
 // single makes one short call on a connection beside the queries'. All such calls may
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -65,6 +65,8 @@
 	log     *slog.Logger
 	counts  struct{ dialled, reused, stolen, expired, stale, spent, resumed atomic.Int64 }
 	odds    [oddKinds]oddity // words of engines that could not be used
+	// What orders a call's attempts behind the withdrawals of earlier ones.
+	withdrawn withdrawals
 }
 
 // Kinds of words of engines that can't be used.
@@ -110,7 +112,8 @@
 
 // NewPool returns a pool that opens at most limit connections.
 func NewPool(limit int, connect, maxIdle time.Duration, log *slog.Logger) *Pool {
-	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, log: log, idle: map[*lane]struct{}{}}
+	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, log: log, idle: map[*lane]struct{}{},
+		withdrawn: withdrawals{of: map[withdrawal]*pending{}}}
 }
 
 func (p *Pool) lane(name, addr string) *lane {
