--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -22,7 +22,7 @@
 // Engine is the way to one engine.
 func (d ByKind) Engine(m routing.Member) routing.Engine {
 	p := &paged{addr: m.Addr, lane: d.Pool.lane(m.Name, m.Addr)}
-	if m.Kind < len(d.Kinds) && d.Rest[d.Kinds[m.Kind]] {
+	if m.Kind >= 0 && m.Kind < len(d.Kinds) && d.Rest[d.Kinds[m.Kind]] {
 		return &restEngine{paged: p, user: d.User}
 	}
 	return p
--- a/internal/transport/roster.go
+++ b/internal/transport/roster.go
@@ -266,14 +266,14 @@
 		Zone: place(r.set.Zones, s.Zone), Kind: place(r.set.KindNames, s.Kind), Cell: s.Cell, State: state, Started: s.Started}}, true
 }
 
-// place is the index of a name; one that is not known is like the first.
+// place is the index of a name. One that the settings don't have is like none of theirs, so that no
+// class that is bound to some goes there: it gets a number below 0 of its own, the same wherever it
+// comes. Where the settings have no names at all, all are the first.
 func place(names []string, name string) int {
-	for i, n := range names {
-		if n == name {
-			return i
-		}
+	if i := slices.Index(names, name); i >= 0 || len(names) == 0 {
+		return max(i, 0)
 	}
-	return 0
+	return -1 - int(number(name)>>33)
 }
 
 // number is the module's number for an engine. It hangs on the name alone, so that all
