A seeded test holds the ramp of cold engines for fleets of 3, 20 and 30 coordinators

The operators count what all coordinators that were told of a start send to a cold engine: beyond a budget of N calls only 2*sqrt(N)+2 is chance. Nothing held the module to that for a fleet. Test: virtual time, drawn sites, unequal traffic at 0.6 to 1.3 of what all engines do, up to seven in ten engines replaced or restarted within 4 s, lists late by up to 6 s, coordinators started anew during the ramp; calls count by their class's mean work against multiple x present capacity x span. The module needed no change.

--- /dev/null
+++ b/decide/coldfleet_test.go
@@ -0,0 +1,410 @@
+package decide
+
+import (
+	"cmp"
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+var coldSeeds = flag.Int("cold-seeds", 200, "plays of each size of fleet against cold engines")
+
+// chanceOver is what may reach a cold engine beyond a budget of n calls and still be put down to chance.
+func chanceOver(n float64) float64 { return 2*math.Sqrt(n) + 2 }
+
+type rampEvent struct {
+	at  Millis
+	seq int
+	do  func()
+}
+
+type rampQueue []rampEvent
+
+func (q rampQueue) Len() int { return len(q) }
+func (q rampQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q rampQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *rampQueue) Push(x any)   { *q = append(*q, x.(rampEvent)) }
+func (q *rampQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// rampEngine is one engine: a server of so many cores that shares them evenly and gets warm with its age.
+type rampEngine struct {
+	id      EngineID
+	started Millis // 0: long ago
+	downTo  Millis // no connection comes up before
+	gone    bool
+	threads float64 // that run now
+	got     []sample
+}
+
+// rampFleet is gateways in virtual time before engines of which some start cold.
+type rampFleet struct {
+	t        *testing.T
+	rng      *rand.Rand
+	set      Settings
+	works    []float64 // true mean work of each class, ms
+	shares   []float64 // of the requests
+	queue    rampQueue
+	seq      int
+	now      Millis
+	gateways []*rampGateway
+	engines  map[EngineID]*rampEngine
+	believed func(*Settings) // what gateways hold for true otherwise; nil: nothing
+	most     float64         // by how much a budget was passed at most, in parts of what chance allows
+	got      float64         // calls of mean work at all cold engines
+	bears    float64         // what these bear in all, of the same
+}
+
+type rampGateway struct {
+	f      *rampFleet
+	self   int
+	g      *Gateway
+	life   int // restarts: events of an earlier life are dropped
+	told   map[EngineID]Millis
+	lag    Millis // of its lists
+	live   map[RequestID]*rampRequest
+	weight float64
+}
+
+type rampRequest struct {
+	class    int
+	attempts int
+	cancel   func()
+}
+
+func (f *rampFleet) after(d Millis, do func()) {
+	f.seq++
+	heap.Push(&f.queue, rampEvent{f.now + max(d, 0), f.seq, do})
+}
+
+// mean is the mean work of a request, ms of all threads.
+func (f *rampFleet) mean() (m float64) {
+	for i, w := range f.works {
+		m += w * f.shares[i]
+	}
+	return m
+}
+
+func (f *rampFleet) cold(e *rampEngine) bool {
+	return !e.gone && e.started > 0 && f.now >= e.started && f.now < e.started+f.set.Rules.ColdFor
+}
+
+// budget is how many calls of mean work a cold engine bears now in the span of the rule.
+func (f *rampFleet) budget(e *rampEngine) float64 {
+	r := f.set.Rules
+	return r.FallMultiple * f.part(e) * f.set.Kinds[0].Cores * usableCores * r.FallSpan / f.mean()
+}
+
+// part is the part of its capacity that an engine has at a time.
+func (f *rampFleet) part(e *rampEngine) float64 {
+	r := f.set.Rules
+	if !f.cold(e) {
+		return 1
+	}
+	return min(r.ColdFrom+(1-r.ColdFrom)*(f.now-e.started)/r.ColdFor, 1)
+}
+
+func (f *rampFleet) list() (l []EngineEntry) {
+	for _, e := range f.engines {
+		if !e.gone && f.now >= e.downTo {
+			l = append(l, e.entry())
+		}
+	}
+	slices.SortFunc(l, func(a, b EngineEntry) int { return cmp.Compare(a.ID, b.ID) })
+	return l
+}
+
+// epoch is the Unix millisecond at which plays begin.
+const epoch = 1.7e12
+
+func (e *rampEngine) entry() EngineEntry {
+	l := EngineEntry{ID: e.id, State: EngineReady, Cell: int(e.id) % 3}
+	if e.started > 0 {
+		l.Started = epoch + e.started
+	}
+	return l
+}
+
+// tell brings a gateway an entry, by its own lag and the day's.
+func (f *rampFleet) tell(entry EngineEntry) {
+	for _, w := range f.gateways {
+		life := w.life
+		f.after(w.lag*(0.5+f.rng.Float64()), func() {
+			if w.life != life {
+				return
+			}
+			if entry.State == EngineReady && entry.Started > 0 {
+				w.told[entry.ID] = f.now
+			}
+			w.handle(ListChanged{Kind: ListDelta, Entries: []EngineEntry{entry}})
+		})
+	}
+}
+
+// begin starts a gateway anew; its list is the present one.
+func (w *rampGateway) begin() {
+	set := w.f.set
+	set.Self = w.self
+	if w.f.believed != nil {
+		w.f.believed(&set)
+	}
+	g, err := New(set, w.f.rng.Uint64())
+	if err != nil {
+		w.f.t.Fatal(err)
+	}
+	for _, r := range w.live {
+		r.cancel()
+	}
+	w.g, w.life, w.live, w.told = g, w.life+1, map[RequestID]*rampRequest{}, map[EngineID]Millis{}
+	l := w.f.list()
+	for _, e := range l {
+		if e.Started > 0 {
+			w.told[e.ID] = w.f.now
+		}
+	}
+	w.handle(ListChanged{Kind: ListCached, Entries: l})
+}
+
+func (w *rampGateway) handle(ev Event) {
+	f, life := w.f, w.life
+	later := func(d Millis, do func()) {
+		f.after(d, func() {
+			if w.life == life {
+				do()
+			}
+		})
+	}
+	for _, a := range w.g.Handle(epoch+f.now, ev) {
+		switch a := a.(type) {
+		case WakeAfter:
+			later(a.After, func() { w.handle(TimerFired{a.Token}) })
+		case Probe:
+			e, o := f.engines[a.Engine], OutcomeServed
+			var load *Load
+			if e == nil || e.gone || f.now < e.downTo {
+				o = OutcomeConnectFailed
+			} else if f.set.Reports {
+				load = &Load{InFlight: e.threads / 2, Queue: -1, Util: -1, Latency: -1, Memory: -1, Disk: -1}
+			}
+			later(2, func() { w.handle(ProbeEnded{Engine: a.Engine, Outcome: o, Load: load, Latency: 2}) })
+		case Send:
+			w.send(a, later)
+		case Cancel:
+			if r := w.live[a.ID]; r != nil && a.Attempt == r.attempts-1 {
+				r.cancel()
+				later(1, func() { w.handle(AttemptEnded{ID: a.ID, Attempt: a.Attempt, Outcome: OutcomeCancelled, Latency: 1}) })
+			}
+		}
+	}
+}
+
+// send carries an attempt out and books it at a cold engine of whose start the gateway was told.
+func (w *rampGateway) send(a Send, later func(Millis, func())) {
+	f, r, e := w.f, w.live[a.ID], w.f.engines[a.Engine]
+	if r == nil {
+		return
+	}
+	n, sent := r.attempts, f.now
+	r.attempts++
+	end := func(o Outcome, work float64) {
+		w.handle(AttemptEnded{ID: a.ID, Attempt: n, Engine: a.Engine, Outcome: o, Latency: f.now - sent, Closed: o == OutcomeServed, Work: work})
+	}
+	r.cancel = func() {}
+	if e == nil || e.gone || f.now < e.downTo {
+		later(1, func() { end(OutcomeConnectFailed, 0) })
+		return
+	}
+	if at, told := w.told[e.id]; told && at >= e.started && f.cold(e) {
+		f.book(e, r.class)
+	}
+	c := f.set.Classes[r.class]
+	work := f.works[r.class] * math.Exp(f.rng.NormFloat64()*0.8-0.32)
+	threads := float64(c.Threads)
+	e.threads += threads
+	was := e.started
+	crowd := max(e.threads/(f.set.Kinds[0].Cores*usableCores*f.part(e)), 1)
+	over, done := false, false
+	free := func() {
+		if !done {
+			done = true
+			e.threads -= threads
+		}
+	}
+	r.cancel = func() { over = true; free() }
+	f.after(work/threads*crowd, func() {
+		free()
+		if over {
+			return
+		}
+		later(0, func() {
+			if e.gone || e.started != was {
+				end(OutcomeReset, 0)
+			} else {
+				end(OutcomeServed, work)
+			}
+		})
+	})
+}
+
+// book counts a call at a cold engine, in requests of mean work over the span of the rule, against what it bears.
+func (f *rampFleet) book(e *rampEngine, class int) {
+	one := f.works[class] / f.mean()
+	e.got = append(slices.DeleteFunc(e.got, func(s sample) bool { return s.at <= f.now-f.set.Rules.FallSpan }), sample{f.now, one})
+	sum := 0.0
+	for _, s := range e.got {
+		sum += s.load
+	}
+	n := f.budget(e)
+	f.most = max(f.most, (sum-n)/chanceOver(n))
+	f.got += one
+}
+
+func (w *rampGateway) arrive(id int) {
+	f := w.f
+	x, class := f.rng.Float64(), 0
+	for class < len(f.shares)-1 && x > f.shares[class] {
+		x, class = x-f.shares[class], class+1
+	}
+	name := RequestID(fmt.Sprint(w.life, "-", id))
+	w.live[name] = &rampRequest{class: class, cancel: func() {}}
+	cost := f.works[class] * math.Exp(f.rng.NormFloat64()*0.4)
+	w.handle(Arrived{ID: name, Class: class, Group: f.rng.Uint64N(40), Left: f.set.Classes[class].Deadline, Cost: cost})
+}
+
+// rampPlay draws a site, a load and starts of engines, and plays 26 s. It gives by how much a budget was passed, in
+// parts of what is put down to chance (above 1: a break), and the use of all budgets. What gateways hold for true may
+// differ from the site by believed.
+func rampPlay(t *testing.T, gateways int, seed uint64, believed func(*Settings)) (most, used float64) {
+	rng := rand.New(rand.NewPCG(seed, uint64(gateways)))
+	between := func(a, b float64) float64 { return a + (b-a)*rng.Float64() }
+	f := &rampFleet{t: t, rng: rng, engines: map[EngineID]*rampEngine{}, believed: believed, most: math.Inf(-1)}
+	f.works = []float64{between(50, 230), between(2500, 5900), between(2800, 7800)}
+	f.shares = []float64{between(10, 18), between(2, 2.9), between(0.5, 1.3)}
+	all := f.shares[0] + f.shares[1] + f.shares[2]
+	for i := range f.shares {
+		f.shares[i] /= all
+	}
+	f.set = Settings{Gateways: gateways, Tick: 5, MaxAttempts: 3, MayCancel: true, MaxComeBack: 500, CostTold: rng.IntN(2) == 0,
+		Kinds: []Kind{{Cores: float64(8 + 4*rng.IntN(3))}}, MayProbe: rng.IntN(2) == 0, Reports: rng.IntN(2) == 0, ProbePrice: 0.01,
+		Classes: []Class{{Aim: 500, Deadline: 2500, Threads: 1, Worth: 1, LateWorth: 0.1, AimStretch: 1.5},
+			{Aim: 1500, Deadline: 15000, Threads: 4, Worth: 20, LateWorth: 0.4, AimStretch: 2.5},
+			{Aim: 4000, Deadline: 20000, Threads: 2, Worth: 25, LateWorth: 0.6, AimStretch: 3, Repeat: RepeatOnce, Loads: true}},
+		Rules: Rules{ColdFrom: between(0.3, 0.5), ColdFor: between(8000, 15000), FallMultiple: between(2, 3), FallSpan: between(1000, 3000)}}
+	servers := 6 + rng.IntN(5)
+	for i := range servers {
+		f.engines[EngineID(i+1)] = &rampEngine{id: EngineID(i + 1)}
+	}
+	for i := range gateways {
+		w := &rampGateway{f: f, self: i, lag: between(50, 4000), weight: rng.ExpFloat64() + 0.05}
+		f.gateways = append(f.gateways, w)
+		w.begin()
+	}
+	total := 0.0
+	for _, w := range f.gateways {
+		total += w.weight
+	}
+	rate := between(0.6, 1.3) * float64(servers) * f.set.Kinds[0].Cores * usableCores / f.mean() // a ms, by all
+	ids := 0
+	for _, w := range f.gateways {
+		var next func()
+		next = func() {
+			ids++
+			w.arrive(ids)
+			f.after(rng.ExpFloat64()/(rate*w.weight/total), next)
+		}
+		f.after(rng.ExpFloat64()/(rate*w.weight/total), next)
+	}
+	for i := range 1 + rng.IntN(servers*7/10) { // some are replaced, some restart
+		e, at := f.engines[EngineID(i+1)], between(3000, 7000)
+		if rng.IntN(2) == 0 {
+			f.after(at, func() {
+				e.gone = true
+				f.tell(EngineEntry{ID: e.id, State: EngineGone})
+				fresh := &rampEngine{id: e.id + 1000, started: f.now}
+				f.engines[fresh.id] = fresh
+				f.tell(fresh.entry())
+			})
+			continue
+		}
+		f.after(at, func() {
+			e.started = f.now + between(300, 4000)
+			e.downTo = e.started
+			f.after(e.downTo-f.now, func() {
+				f.tell(e.entry())
+			})
+		})
+	}
+	for range rng.IntN(gateways/2 + 1) { // during the ramps
+		w := f.gateways[rng.IntN(gateways)]
+		f.after(between(5000, 15000), w.begin)
+	}
+	const step = 100
+	var look func()
+	look = func() {
+		for _, e := range f.engines {
+			if f.cold(e) {
+				f.bears += f.budget(e) * step / f.set.Rules.FallSpan
+			}
+		}
+		f.after(step, look)
+	}
+	look()
+	for f.now < 26000 && len(f.queue) > 0 {
+		ev := heap.Pop(&f.queue).(rampEvent)
+		f.now = ev.at
+		ev.do()
+	}
+	return f.most, f.got / max(f.bears, 1)
+}
+
+// The ramp holds for the fleet: what all gateways that know of a start send to the cold engine stays within its budget
+// and what is put down to chance, however many they are, however unequal their traffic, and whenever each was told or
+// started anew. And the engine is not starved.
+func TestTheRampHoldsForTheFleet(t *testing.T) {
+	for _, gateways := range []int{3, 20, 30} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			t.Parallel()
+			worst, sum, broken := math.Inf(-1), 0.0, 0
+			for seed := range *coldSeeds {
+				most, used := rampPlay(t, gateways, uint64(seed+1), nil)
+				if most > 1 {
+					broken++
+					t.Errorf("seed %d: a budget was passed by %.2f of what is put down to chance", seed+1, most)
+				}
+				worst, sum = max(worst, most), sum+used
+			}
+			mean := sum / float64(*coldSeeds)
+			t.Logf("%d gateways, %d plays: %d broken, worst %.2f of what is put down to chance, use of the budget %.2f", gateways, *coldSeeds, broken, worst, mean)
+			if mean < 0.05 {
+				t.Errorf("cold engines are starved: they get %.3f of what they bear", mean)
+			}
+		})
+	}
+}
+
+// The checker sees a ramp that is missing, and one that each gateway keeps as if it were alone.
+func TestTheRampsCheckerSeesItMissing(t *testing.T) {
+	for name, believed := range map[string]func(*Settings){
+		"no ramp":      func(s *Settings) { s.Rules.ColdFor = 0 },
+		"each its own": func(s *Settings) { s.Gateways, s.Self = 1, 0 },
+	} {
+		broken := 0
+		for seed := range uint64(30) {
+			if most, _ := rampPlay(t, 20, seed+1, believed); most > 1 {
+				broken++
+			}
+		}
+		if t.Logf("%s: %d of 30 plays broken", name, broken); broken < 3 {
+			t.Errorf("%s: %d of 30 plays broken", name, broken)
+		}
+	}
+}
