Where two attempts may not be out, one ends only once its engine can't be at it any more

Ruled out: two attempts by the module (it keeps one, r.on) and a repeat under a key. Change: Attempt.Alone (bounds.mayDuplicate is not set). Its end is told when the withdrawal is answered, its process refuses connections, or nobody has asked for it for the protocol's 2 s and its slack. Both drivers; a REST engine that has named no address can't be told. Where copies are allowed nothing changes. Tests: end after the third lost DELETE, end after 2 s of silence, the setting's way to the driver; each of the two was seen to fail with its line taken out.

--- a/decide/api.go
+++ b/decide/api.go
@@ -95,6 +95,7 @@
 	Tick           Millis
 	MaxAttempts    int
 	MayCancel      bool
+	MayDuplicate   bool // two attempts of a request may be out at a time; the module itself sends none beside another
 	MayProbe       bool
 	Reports        bool // answers or probes bring reports of load
 	MayTell        bool
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -483,7 +483,7 @@
 		return
 	}
 	try := Attempt{Call: r.query.Call, Class: c.set.Classes[r.query.Class].Name, Statement: r.query.Statement,
-		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Key: r.query.Key, Sink: r.query.Sink,
+		Timeout: timeout, GrantMB: r.grant, Priority: r.priority, Key: r.query.Key, Sink: r.query.Sink, Alone: !c.set.MayDuplicate,
 		Note: func(k decide.ProgressKind, value float64) {
 			c.post(func() {
 				if !t.over {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -208,3 +208,16 @@
 	settled(t, c)
 	require.Empty(t, p.runs)
 }
+
+// Whether another attempt may be out beside one is the settings' word, and their silence is a no.
+func TestAttemptsAreAloneWhereTheSettingsSaySo(t *testing.T) {
+	for _, may := range []bool{false, true} {
+		c, p, list := coreOf(t, true, 5000)
+		c.set.MayDuplicate = may
+		list()
+		_, _ = ask(c, "one", 0, "")
+		r := p.next(t)
+		require.Equal(t, !may, r.Alone)
+		r.end(decide.OutcomeServed)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -66,6 +66,9 @@
 	Priority  int    // -1: none set
 	Key       string // the client's idempotency key; empty: none
 	Sink      Sink
+	// Alone tells that no other attempt of the query may be out beside this one: its end is told once
+	// the engine can't be at it any more.
+	Alone bool
 	// Note takes what an engine tells of the attempt while it runs.
 	Note func(decide.ProgressKind, float64)
 	// Ready tells, as the first byte goes, whether the list still allows new
--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -454,3 +454,58 @@
 	require.Equal(t, decide.OutcomeServed, receive(t, end).Outcome)
 	require.Equal(t, []string{"DELETE", "POST"}, order)
 }
+
+// Where a request may not have two attempts out, the end of one was told while its engine was still at it: its withdrawal
+// had been lost, or its connection came up too late for it, and the next attempt ran beside it.
+func TestAnAttemptThatMustBeAloneEndsOnceItIsWithdrawn(t *testing.T) {
+	for name, wants := range map[string]decide.Outcome{"cancelled": decide.OutcomeCancelled, "lost": decide.OutcomeLost} {
+		var deletes atomic.Int64
+		var withdrawn atomic.Bool
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		p := pagedEngine(t, func(what string, w http.ResponseWriter, r *http.Request) {
+			switch {
+			case what == "DELETE" && deletes.Add(1) <= 3: // reset before it is read; each is tried twice
+				c, _, err := w.(http.Hijacker).Hijack()
+				require.NoError(t, err)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			case what == "DELETE":
+				withdrawn.Store(true)
+				w.WriteHeader(204)
+			case name == "cancelled":
+				cancel()
+				w.WriteHeader(202)
+			default:
+				w.WriteHeader(418)
+			}
+		})
+		a := attempt("1")
+		a.Alone = true
+		require.Equal(t, wants, p.Run(ctx, a).Outcome, name)
+		require.True(t, withdrawn.Load(), name)
+	}
+}
+
+// An engine that does not answer its withdrawal lets the query go by itself, after the protocol's time.
+func TestAnAttemptThatMustBeAloneEndsOnceItsEngineHasForgottenIt(t *testing.T) {
+	var last atomic.Int64
+	p := pagedEngine(t, func(what string, w http.ResponseWriter, r *http.Request) {
+		if what == "DELETE" {
+			<-r.Context().Done()
+			return
+		}
+		last.Store(time.Now().UnixNano())
+		w.WriteHeader(418)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	a := attempt("1")
+	a.Alone = true
+	require.Equal(t, decide.OutcomeLost, p.Run(ctx, a).Outcome)
+	require.GreaterOrEqual(t, time.Since(time.Unix(0, last.Load())), 2*time.Second)
+	a.Alone = false
+	began := time.Now()
+	require.Equal(t, decide.OutcomeNotSent, p.Run(ctx, a).Outcome, "not beside what may yet be read there")
+	require.Less(t, time.Since(began), 2*time.Second)
+}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"syscall"
 	"time"
 
 	"aniseloft/decide"
@@ -46,40 +47,43 @@
 		p.lane.put(c)
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
 	}
-	res, err := p.converse(ctx, c, q, a.Note)
+	res, asked, err := p.converse(ctx, c, q, a.Note)
 	if err == nil {
 		return p.result(res)
 	}
+	if ctx.Err() == nil && !a.Alone && errors.Is(err, errUnreachable) {
+		return p.lost(err, false, func() {}) // nor would a withdrawal reach it
+	}
+	withdraw := p.giveUp(a, asked, deadline)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// The client's answer is due now: it must not wait for the engine's word on the cancel.
-		go p.giveUp(a.Call, deadline)()
+		go withdraw()
 		return routing.Result{Outcome: decide.OutcomeTimeout, Why: "deadline"}
 	}
 	if ctx.Err() != nil {
-		p.giveUp(a.Call, deadline)()
+		withdraw()
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
-	if errors.Is(err, errUnreachable) {
-		return p.lost(err, func() {})
-	}
-	return p.lost(err, p.giveUp(a.Call, deadline))
+	return p.lost(err, a.Alone, withdraw)
 }
 
 // lost says what an attempt came to whose answers were lost. Whether it ran is not known,
 // even where a reused connection reset at once: it is for the module to say whether the
 // class may go again.
-func (p *paged) lost(err error, giveUp func()) routing.Result {
+func (p *paged) lost(err error, alone bool, withdraw func()) routing.Result {
 	out := routing.Result{Outcome: decide.OutcomeLost, Why: err.Error()}
 	if errors.Is(err, errUnreachable) {
 		out.Outcome = decide.OutcomeReset
-		return out
-	}
-	// Connections still come up, so it is no proof that the engine is down; but where they
-	// bring no answer in time, something is wrong with it.
-	if isTimeout(err) {
+	} else if isTimeout(err) {
+		// Connections still come up, so it is no proof that the engine is down; but where they
+		// bring no answer in time, something is wrong with it.
 		out.Outcome = decide.OutcomeError
 	}
-	go giveUp()
+	if alone {
+		withdraw()
+	} else {
+		go withdraw()
+	}
 	return out
 }
 
@@ -88,25 +92,25 @@
 
 // converse feeds the query's machine until it ends. What is lost or spoilt on the
 // way is asked for again on a fresh connection: that starts nothing, so it is safe
-// for loads too.
-func (p *paged) converse(ctx context.Context, c *link, q *engine.Query, note func(decide.ProgressKind, float64)) (*engine.Result, error) {
+// for loads too. It tells when the engine was last asked for the query.
+func (p *paged) converse(ctx context.Context, c *link, q *engine.Query, note func(decide.ProgressKind, float64)) (res *engine.Result, asked time.Time, err error) {
 	out := q.Begin()
 	for lost := 0; ; {
-		step, heard, err := p.exchange(ctx, c, q, out, note)
+		step, heard, err := p.exchange(ctx, c, q, out, note, &asked)
 		if heard {
 			lost = 0
 		}
 		if step.Result != nil || ctx.Err() != nil {
-			return step.Result, err
+			return step.Result, asked, err
 		}
 		if err != nil {
 			if lost++; lost > maxResumes {
-				return nil, err
+				return nil, asked, err
 			}
 		}
 		fresh, derr := p.lane.again(ctx)
 		if derr != nil {
-			return nil, errors.Join(err, derr)
+			return nil, asked, errors.Join(err, derr)
 		}
 		c = fresh
 		out = q.Resume()
@@ -115,9 +119,10 @@
 
 // exchange writes and reads on one connection until the query ends or needs another,
 // and hands it back. Heard tells whether any answer was good.
-func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte, note func(decide.ProgressKind, float64)) (step engine.Step, heard bool, err error) {
+func (p *paged) exchange(ctx context.Context, c *link, q *engine.Query, out []byte, note func(decide.ProgressKind, float64), asked *time.Time) (step engine.Step, heard bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	for step.Result == nil && !step.Fresh && err == nil {
+		*asked = time.Now()
 		step, err = p.call(ctx, c, q, out)
 		heard = heard || err == nil
 		out = step.Out
@@ -203,15 +208,34 @@
 		Latency: get("latency_ms"), Memory: get("x0"), Disk: get("x1")}
 }
 
-// giveUp returns what tells the engine that nobody waits for a call any more. From now on a further
-// attempt under the call, which may come until the given time, waits here for the end of that.
-func (p *paged) giveUp(call string, until time.Time) func() {
-	end := p.lane.pool.withdrawn.begin(p.addr, call, until)
+// forgetAfter is how long an engine lets a query run that nobody asks for: the protocol's time, with
+// the slack that it gives every time.
+const forgetAfter = 2*time.Second + 50*time.Millisecond
+
+// giveUp returns what tells the engine that nobody waits for an attempt any more. From now on a further
+// one under its call, which may come until the given time, waits here for the end of that.
+func (p *paged) giveUp(a routing.Attempt, asked, until time.Time) func() {
+	end := p.lane.pool.withdrawn.begin(p.addr, a.Call, until)
 	return func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-		defer cancel()
-		_, _, err := p.single(ctx, engine.Delete(p.addr, call))
-		end(err)
+		end(p.withdraw(engine.Delete(p.addr, a.Call), a.Alone, minTime(asked.Add(forgetAfter), until)))
+	}
+}
+
+// withdraw makes the call that gives an attempt up: once or, where no other may run beside it, until it
+// is answered, its process is gone, or the attempt is over by itself at the given time.
+func (p *paged) withdraw(call []byte, alone bool, over time.Time) error {
+	limit := time.Now().Add(callLimit)
+	if alone && over.After(limit) {
+		limit = over
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	for {
+		_, _, err := p.single(ctx, call)
+		if err == nil || !alone || errors.Is(err, syscall.ECONNREFUSED) || !time.Now().Before(over) {
+			return err
+		}
+		time.Sleep(resumeEach)
 	}
 }
 
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -58,10 +58,9 @@
 		return routing.Result{Outcome: outcome, Body: res.Body, Streamed: a.Sink != nil, Work: res.Work, MemoryMB: res.MemoryMB, Why: res.Why}
 	}
 	giveUp := func() {
-		if b := q.Cancel(); b != nil {
-			cctx, cancel := context.WithTimeout(context.Background(), callLimit)
-			defer cancel()
-			_, _, _ = e.single(cctx, b)
+		if b := q.Cancel(); b != nil { // else the engine has named no address to withdraw it at
+			deadline, _ := ctx.Deadline()
+			_ = e.withdraw(b, a.Alone, deadline)
 		}
 	}
 	switch {
@@ -73,10 +72,10 @@
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
 	if errors.Is(err, errSink) { // for no fault of the engine
-		go giveUp()
+		e.lost(err, a.Alone, giveUp)
 		return routing.Result{Outcome: decide.OutcomeLost, Why: err.Error()}
 	}
-	return e.lost(err, giveUp)
+	return e.lost(err, a.Alone, giveUp)
 }
 
 // errSink says that a page could not be kept.
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -26,7 +26,7 @@
 	{"bounds.peers", "Settings.MayTell", "coordinators may tell each other what they hold", "none is told"},
 	{"bounds.probes", "Settings.MayProbe", "engines may be asked for their report", "none is asked"},
 	{"bounds.sendCap", "Settings.MaxAttempts", "attempts for one request, with the first", "an error"},
-	{"bounds.mayDuplicate", "", "the module never has two attempts of a request out", ""},
+	{"bounds.mayDuplicate", "Settings.MayDuplicate", "where not, an attempt's end counts only once its engine can't be at it any more", "not allowed"},
 	{"bounds.streamsPerConn", "", "a connection to an engine carries one call at a time", ""},
 	{"bounds.cpuUsPerS", "", "nothing is decided by it", ""},
 	{"bounds.cpuUsPerRequest", "", "nothing is decided by it", ""},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -17,6 +17,7 @@
 	Me        int `json:"me"`
 	Bounds    struct {
 		Cancel      bool    `json:"cancel"`
+		Duplicate   bool    `json:"mayDuplicate"`
 		MaxBack     float64 `json:"maxRetryAfterMs"`
 		Peers       bool    `json:"peers"`
 		Probes      bool    `json:"probes"`
@@ -112,7 +113,7 @@
 	}
 	s = decide.Settings{
 		Gateways: p.Balancers, Self: p.Me, Tick: p.TickMs,
-		MaxAttempts: p.Bounds.MaxAttempts, MayCancel: p.Bounds.Cancel, MayProbe: p.Bounds.Probes,
+		MaxAttempts: p.Bounds.MaxAttempts, MayCancel: p.Bounds.Cancel, MayDuplicate: p.Bounds.Duplicate, MayProbe: p.Bounds.Probes,
 		MayTell: p.Bounds.Peers, Reports: p.Report.Via != "silent" && p.Report.Via != "", TellPrice: p.Prices.Peer, ProbePrice: p.Prices.Probe,
 		MustAsk: p.RegistryMode == "ask", GrantsHeeded: p.Domain.Grants,
 		PriorityHeeded: p.Domain.Priorities, CostTold: p.Domain.CostTold,
