Second front: a client that leaves before its first answer withdraws its query; more crossings forced

Found by reading, and checked as the guard of the first front in the other: - restfront.go waits up to 1 s for a statement's first answer and does not read the connection meanwhile. A client that closed it has no name for its query, which waited on and could be sent. It is looked at every 25 ms and the query withdrawn; with an Idempotency-Key the client can come again, and it goes on. - program.start put down the mark by which an older process knows a successor before the clients' address was open: told to end just then, the old one stopped taking connections that nobody took. The mark comes last now.

--- a/cmd/aniseloft/crossings_test.go
+++ b/cmd/aniseloft/crossings_test.go
@@ -1,10 +1,24 @@
 package main
 
 import (
+	"bytes"
+	"database/sql"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+	_ "modernc.org/sqlite" // the record that a test holds
 )
 
 // An engine of a zone or kind that the settings don't name passed for the first of them: classes bound to that went there.
@@ -21,3 +35,247 @@
 		require.Equal(t, "a\tb\tc\n", served(t, c.call(query(2, "trip-lookup", "free", 9000))), odd)
 	}
 }
+
+// counted waits until the counters, printed anew, hold a text.
+func (p *node) counted(text string) {
+	p.t.Helper()
+	eventually(p.t, func() bool {
+		_ = p.Process.Signal(syscall.SIGUSR1)
+		return strings.Contains(p.logged(), text)
+	})
+}
+
+// A client of the second front that closed its connection before the first answer has no name for its query: it waited on,
+// and was sent. One with a key can come again, and its query goes on.
+func TestAStatementWhoseClientLeftIsNotSent(t *testing.T) {
+	t.Parallel()
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true) // no engine yet: what comes waits
+	p := run(t, t.TempDir(), j, true)
+	leave := func(statement, more string) {
+		c := dial(t, p.rest)
+		fmt.Fprintf(c, "POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: kiosk\r\nX-Trino-Source: trip-lookup\r\nX-Aniseloft-Work-Ms: 500\r\n%sContent-Length: %d\r\n\r\n%s",
+			more, len(statement), statement)
+		c.Close()
+	}
+	leave("left", "")
+	p.counted("class=trip-lookup taken=1 sent=0 gone=1")
+	leave("kept", "Idempotency-Key: k\r\n")
+	p.counted("class=trip-lookup taken=2 sent=0 gone=1")
+	j.add(false, server(1, e, "active"))
+	_, text := settle(t, p.post("trip-lookup", "k", "kept"))
+	require.Equal(t, "a\tb\tc\n", text)
+	require.Zero(t, e.count(&e.started, "left"))
+	require.Equal(t, 1, e.count(&e.started, "kept"))
+}
+
+// SIGTERM while the start waits for its record: what had connected by then is served, and the program ends cleanly.
+func TestSIGTERMDuringTheStartServesWhoHasConnected(t *testing.T) {
+	t.Parallel()
+	e, j, dir := newEngine(t, false), newJournal(t), t.TempDir()
+	j.add(true, server(1, e, "active"))
+	p := run(t, dir, j, true) // makes the record
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Wait())
+	record, err := sql.Open("sqlite", filepath.Join(dir, "record.db"))
+	require.NoError(t, err)
+	record.SetMaxOpenConns(1)
+	_, err = record.Exec("BEGIN EXCLUSIVE")
+	require.NoError(t, err)
+	again := again(p)
+	again.Stdout, again.Stderr = p, p
+	require.NoError(t, again.Start())
+	c := dial(t, p.listen) // its front listens and its record is held: it does not serve yet
+	c.send(query(1, "trip-lookup", "x", 9000))
+	require.NoError(t, again.Process.Signal(syscall.SIGTERM))
+	_, err = record.Exec("ROLLBACK")
+	require.NoError(t, err)
+	require.NoError(t, record.Close())
+	require.Contains(t, c.line(), `"id":1,"result"`)
+	require.NoError(t, again.Wait(), "exit code 0")
+}
+
+// SIGTERM in a drain by hand, and a second one: what is open is answered, what rests is closed and not reset.
+func TestSIGTERMTwiceDuringADrainByHand(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, false)
+	open, rests := dial(t, p.listen), dial(t, p.listen)
+	open.send(query(1, "trip-lookup", "stay", 9000))
+	eventually(t, func() bool { return e.count(&e.started, "stay") == 1 })
+	require.Contains(t, rests.call(query(2, "trip-lookup", "x", 9000)), `"id":2,"result"`)
+	a, err := net.Dial("tcp", p.admin)
+	require.NoError(t, err)
+	defer a.Close()
+	_, _ = io.WriteString(a, "PAUSE\n")
+	answer, err := io.ReadAll(a)
+	require.NoError(t, err)
+	require.Equal(t, "ACK paused\n", string(answer))
+	_, err = rests.r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.told("now=draining")
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	close(e.release)
+	require.Contains(t, open.line(), `"id":1,"result"`)
+	_, err = open.r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, p.Wait(), "exit code 0")
+}
+
+// Clients that rest until the process ends meet a close, and the process waits for none of them.
+func TestClientsThatRestUntilTheEndMeetAClose(t *testing.T) {
+	t.Parallel()
+	p, _, _ := world(t, true)
+	var rest []*client
+	for id := range 6 {
+		c := dial(t, p.listen)
+		require.Contains(t, c.call(query(id+1, "trip-lookup", "x", 9000)), `"result"`)
+		rest = append(rest, c)
+	}
+	info := dial(t, p.rest)
+	_, _ = io.WriteString(info, "GET /v1/info HTTP/1.1\r\nHost: a\r\n\r\n")
+	answer, err := http.ReadResponse(info.r, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.NoError(t, err)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	for _, c := range append(rest, info) {
+		_, err := c.r.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "a close, and no reset")
+	}
+	require.NoError(t, p.Wait())
+}
+
+// An upgrade's new process was counted as a successor before the clients' address was open at it: told to end just then, the
+// old one stopped taking connections that nobody took.
+func TestNoSuccessorBeforeItListens(t *testing.T) {
+	t.Parallel()
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	p := &node{t: t, dir: t.TempDir(), listen: taken.Addr().String(), admin: freeAddr(t), log: &bytes.Buffer{}}
+	p.configure(j)
+	tmp := filepath.Join(p.dir, "tmp")
+	require.NoError(t, os.MkdirAll(tmp, 0o700))
+	c := exec.Command(binary)
+	c.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(p.dir, "config.json"), "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
+	out, err := c.CombinedOutput()
+	require.Error(t, err)
+	require.Contains(t, string(out), "address already in use")
+	marks, err := filepath.Glob(filepath.Join(tmp, "aniseloft-live-*"))
+	require.NoError(t, err)
+	require.Empty(t, marks)
+}
+
+// restarted is a journal service that is down for a while: its address refuses connections until it is up again.
+type restarted struct {
+	*journal
+	addr string
+}
+
+func (r *restarted) down() {
+	r.CloseClientConnections()
+	r.Listener.Close()
+	r.CloseClientConnections()
+}
+
+func (r *restarted) up(t *testing.T) {
+	l, err := net.Listen("tcp", r.addr)
+	require.NoError(t, err)
+	s := &http.Server{Handler: r.Config.Handler}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { s.Close() })
+}
+
+// Idle clients fill the descriptors while discovery is down. One is kept for the watch, and some for engines: news is
+// heard once it is back, and queries are served throughout.
+func TestIdleClientsLeaveDescriptorsForDiscoveryAndEngines(t *testing.T) {
+	t.Parallel()
+	const limit = 64
+	old, fresh, j := newEngine(t, false), newEngine(t, false), newJournal(t)
+	j.add(true, server(1, old, "active"))
+	p := run(t, t.TempDir(), j, false)
+	require.NoError(t, unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: limit}, nil))
+	service := &restarted{j, j.Listener.Addr().String()}
+	service.down()
+	var idle []*client
+	for id := range 2 * limit { // more than may be; those of before are closed for them
+		c := dial(t, p.listen)
+		c.send(`{"jsonrpc":"2.0","id":1,"method":"alive"}`)
+		if line, err := c.r.ReadString('\n'); err == nil {
+			require.Contains(t, line, `"pass":true`, id)
+		}
+		idle = append(idle, c)
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Process.Pid))
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(open), limit)
+	require.Contains(t, dial(t, p.listen).call(query(2, "trip-lookup", "before", 9000)), `"result"`)
+	service.up(t)
+	j.add(false, server(1, old, "leaving"), server(2, fresh, "active"))
+	eventually(t, func() bool {
+		return strings.Contains(dial(t, p.listen).call(query(3, "trip-lookup", "after", 9000)), `"result"`) && fresh.count(&fresh.started, "after") > 0
+	})
+	require.Len(t, idle, 2*limit, "they were held to the end")
+}
+
+// Thirty processes that start together, with discovery up, down and silent: nine in ten are ready within 10 s, and each
+// then answers its clients.
+func TestThirtyRestartedProcessesAreReadyAgain(t *testing.T) {
+	const processes, mostLate, within = 30, 3, 10 * time.Second
+	for _, discovery := range []string{"up", "down", "silent"} {
+		e, j := newEngine(t, false), newJournal(t)
+		j.add(true, server(1, e, "active"))
+		switch discovery {
+		case "down":
+			j.CloseClientConnections()
+			j.Listener.Close()
+		case "silent":
+			j.silence()
+		}
+		var all []*node
+		for range processes {
+			p := &node{t: t, dir: t.TempDir(), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{}}
+			p.configure(j)
+			all = append(all, p)
+		}
+		// Once each has served, all are restarted in one instant.
+		for _, p := range all {
+			p.start(os.Environ())
+		}
+		for _, p := range all {
+			p.kill()
+		}
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		late, began := 0, time.Now()
+		for _, p := range all {
+			group.Go(func() {
+				c := again(p)
+				c.Stdout, c.Stderr = p, p
+				if err := c.Start(); err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
+				k := dial(t, p.listen)
+				line := k.call(`{"jsonrpc":"2.0","id":1,"method":"alive"}`)
+				took := time.Since(began)
+				mu.Lock()
+				if took > within || !strings.Contains(line, `"pass":true`) {
+					late++
+				}
+				mu.Unlock()
+				if line := k.call(query(2, "trip-lookup", "x", 9000)); !strings.Contains(line, `"result"`) {
+					t.Errorf("discovery %s: %s", discovery, line)
+				}
+			})
+		}
+		group.Wait()
+		require.LessOrEqual(t, late, mostLate, "discovery %s", discovery)
+		t.Logf("discovery %s: %d of %d late, all answered after %v", discovery, late, processes, time.Since(began).Round(time.Millisecond))
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -232,7 +232,6 @@
 	if err := p.startFleet(fleetConf); err != nil {
 		return err
 	}
-	p.live = registerLive(os.TempDir())
 	p.state = newStateFile()
 	p.readState(p.state, true)
 	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
@@ -259,6 +258,8 @@
 	} else if fleetConf.By == fleetconf.ByRecord {
 		return fleetconf.Fault{Pointer: "/by", Problem: "there is no record", Mend: "name one in " + restconf.File + ", or let a council deal out the jobs"}
 	}
+	// Only now that the clients' address is open here may an older process stop taking connections there.
+	p.live = registerLive(os.TempDir())
 	p.runFleet(ctx)
 	go p.core.Run(ctx)
 	if p.peers != nil {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -228,6 +228,12 @@
 	return at, c.open == 0 && c.waiting == 0 && !c.closing
 }
 
+// gone tells whether the client has closed its side, with nothing unread before that.
+func (c *ClientConn) gone() bool {
+	n, err := peek(c.Conn)
+	return n == 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
 // unread tells whether bytes wait on a connection that nobody has read.
 func unread(c net.Conn) bool {
 	n, _ := peek(c)
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -199,10 +199,10 @@
 	}
 }
 
-func (f *RestClients) answer(ctx context.Context, g *ClientConn, msg any, at time.Time) (out []byte, last bool) {
+func (f *RestClients) answer(ctx context.Context, c *ClientConn, msg any, at time.Time) (out []byte, last bool) {
 	switch m := msg.(type) {
 	case rest.Statement:
-		return f.statement(ctx, g, m, at), m.Close
+		return f.statement(ctx, c, m, at), m.Close
 	case rest.Page:
 		return f.page(ctx, m), m.Close
 	case rest.Cancel:
@@ -222,7 +222,7 @@
 }
 
 // statement starts a query, or joins the one that the key names.
-func (f *RestClients) statement(ctx context.Context, g *ClientConn, m rest.Statement, at time.Time) []byte {
+func (f *RestClients) statement(ctx context.Context, c *ClientConn, m rest.Statement, at time.Time) []byte {
 	n, ok := f.Core.Class(m.Class)
 	if !ok {
 		return rest.Plain(400, "X-Trino-Source names no class of queries")
@@ -235,7 +235,7 @@
 		return rest.Plain(400, rest.HeaderKey+" is needed: this class must not run twice")
 	}
 	if f.Take != nil && !f.Take(at, oncall.Expect(m.WorkMS, class.Threads, class.Aim)) {
-		g.sentAway()
+		c.sentAway()
 		return refusal(token(), oncall.ComeBack)
 	}
 	timeout := class.Deadline
@@ -278,11 +278,40 @@
 	if q.spool != nil {
 		to.Sink = q
 	}
+	if m.Key == "" {
+		defer q.watch(c)()
+	}
 	q.submit(to)
 	row.State = store.Running
 	return f.await(ctx, &row, m.Host, 0, true)
 }
 
+// goneLook is how often a connection that waits for its statement's first answer is looked at: nothing
+// may begin for a client that left over 100 ms ago.
+const goneLook = 25 * time.Millisecond
+
+// watch withdraws a query whose client leaves before its first answer, until the returned func is
+// called: without a key nobody else can ever ask for the query.
+func (q *restQuery) watch(c *ClientConn) (stop func()) {
+	over := make(chan struct{})
+	go func() {
+		t := time.NewTicker(goneLook)
+		defer t.Stop()
+		for {
+			select {
+			case <-over:
+				return
+			case <-t.C:
+				if c.gone() {
+					q.cancel()
+					return
+				}
+			}
+		}
+	}()
+	return func() { close(over) }
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
