--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -221,3 +221,56 @@
 		r.end(decide.OutcomeServed)
 	}
 }
+
+// The list moves on while an attempt is dialled: its engine drains, is gone, restarts under its id, or its address goes to
+// another. Nothing may begin there any more.
+func TestNothingBeginsWhereTheListMovedOnDuringTheDial(t *testing.T) {
+	entry := func(id decide.EngineID, state decide.EngineState, started decide.Millis, addr string) Member {
+		return Member{Name: string(rune('a' + id - 1)), Addr: addr, EngineEntry: decide.EngineEntry{ID: id, State: state, Started: started}}
+	}
+	for name, moved := range map[string]struct {
+		kind    decide.ListKind
+		members []Member
+	}{
+		"drains":            {decide.ListDelta, []Member{entry(1, decide.EngineDraining, 0, "127.0.0.1:1")}},
+		"gone":              {decide.ListDelta, []Member{entry(1, decide.EngineGone, 0, "")}},
+		"left out":          {decide.ListFull, []Member{entry(2, decide.EngineReady, 0, "127.0.0.1:2")}},
+		"restarted":         {decide.ListDelta, []Member{entry(1, decide.EngineReady, now(), "127.0.0.1:1")}},
+		"moved":             {decide.ListDelta, []Member{entry(1, decide.EngineReady, 0, "127.0.0.1:9")}},
+		"another's address": {decide.ListDelta, []Member{entry(1, decide.EngineGone, 0, ""), entry(2, decide.EngineReady, 0, "127.0.0.1:1")}},
+	} {
+		c, p, list := coreOf(t, true, 5000)
+		list()
+		ask(c, "one", 0, "")
+		r := p.next(t)
+		require.True(t, r.Ready(), name)
+		c.List(moved.kind, moved.members)
+		settled(t, c)
+		require.False(t, r.Ready(), name)
+		r.end(decide.OutcomeNotSent)
+	}
+}
+
+// An attempt is called off as its answer comes: the answer is the answer, and no second attempt goes out.
+func TestAnAnswerThatCrossesItsCancelIsTheAnswer(t *testing.T) {
+	c, p, list := coreOf(t, true, 5000)
+	list()
+	asked, _ := ask(c, "one", 0, "")
+	r := p.next(t)
+	c.post(func() { c.perform(decide.Cancel{ID: asked1(c), Attempt: 0}) })
+	settled(t, c)
+	require.Error(t, r.ctx.Err(), "it is called off")
+	r.end(decide.OutcomeServed)
+	require.Equal(t, Served, receive(t, asked.answers).Kind)
+	settled(t, c)
+	require.Empty(t, p.runs)
+	require.Empty(t, asked.answers, "one answer")
+}
+
+// asked1 is the id of the only request.
+func asked1(c *Core) decide.RequestID {
+	for id := range c.requests {
+		return id
+	}
+	return ""
+}
