--- a/cmd/aniseloft/crossings_test.go
+++ b/cmd/aniseloft/crossings_test.go
@@ -279,3 +279,15 @@
 		t.Logf("discovery %s: %d of %d late, all answered after %v", discovery, late, processes, time.Since(began).Round(time.Millisecond))
 	}
 }
+
+// A class whose name differs in case is none of the settings': nobody gets another's limits.
+func TestAClassInOtherCaseIsNoClass(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, true)
+	c := dial(t, p.listen)
+	for id, name := range []string{"Trip-Lookup", "TRIP-LOOKUP", "trip-lookup ", "trip_lookup"} {
+		require.Contains(t, c.call(query(id+1, name, "x", 9000)), `"code":-32601`, name)
+	}
+	require.Equal(t, 400, p.post("Trip-Lookup", "", "x").status)
+	require.Zero(t, e.count(&e.started, "x"))
+}
--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -612,3 +612,23 @@
 		})
 	}
 }
+
+// A client that is writing a request is known to be, so that an end waits for it; one that has stopped half way is not.
+func TestAClientThatWritesIsKnownTo(t *testing.T) {
+	front, _ := frontOf(t, false)
+	l := listenerOf(t, 4, front.Serve)
+	client, server := pair(t)
+	l.start(server)
+	require.False(t, l.Writing())
+	message := `{"jsonrpc":"2.0","id":1,"method":"alive"}` + "\n"
+	require.Eventually(t, func() bool { // a machine that stood still took it for stopped: another byte tells otherwise
+		write(t, client, " ")
+		return l.Writing()
+	}, patience, time.Millisecond)
+	write(t, client, message)
+	_, err := bufio.NewReader(client).ReadString('\n')
+	require.NoError(t, err)
+	require.False(t, l.Writing(), "whole")
+	write(t, client, message[:10])
+	require.Eventually(t, func() bool { return !l.Writing() }, patience, time.Millisecond)
+}
