--- a/internal/oncall/hand.go
+++ b/internal/oncall/hand.go
@@ -1,5 +1,5 @@
 // Package oncall holds what on-call staff decide by hand and what follows from
-// it: engines taken out and let back (Hand), and a coordinator drained of its
+// it: engines taken out and let back (Overrides), and a coordinator drained of its
 // clients (Drain). It does no I/O: callers bring the time, the list and the
 // bytes of the state file, and carry out what it says.
 package oncall
@@ -29,26 +29,26 @@
 	At decide.Millis `json:"at_ms"`
 }
 
-// Hand is the engines out by hand, by the ids of the list. A ban holds whatever
+// Overrides are the engines out by hand, by the ids of the list. A ban holds whatever
 // the list says, until the call back; it outlives the process through State.
-type Hand struct {
+type Overrides struct {
 	bans   map[string]*Ban
 	back   map[string]Back
 	listed map[string]bool // ids that the list names and has not let go
 	seq    uint64          // counts changes, across processes: the higher state is the later
 }
 
-// NewHand returns a Hand with nobody out.
-func NewHand() *Hand {
-	return &Hand{bans: map[string]*Ban{}, back: map[string]Back{}, listed: map[string]bool{}}
+// NewOverrides returns Overrides with nobody out.
+func NewOverrides() *Overrides {
+	return &Overrides{bans: map[string]*Ban{}, back: map[string]Back{}, listed: map[string]bool{}}
 }
 
 // keepBack is how long a call back still makes a listed start cold, in ms: as long
 // as any engine can be cold, with room.
 const keepBack = 10 * 60 * 1000
 
-// Listed tells the Hand whether the list now names an engine (and it is not gone).
-func (h *Hand) Listed(id string, present bool) {
+// Listed tells the overrides whether the list now names an engine (and it is not gone).
+func (h *Overrides) Listed(id string, present bool) {
 	if present {
 		h.listed[id] = true
 	} else {
@@ -57,11 +57,11 @@
 }
 
 // Known tells whether an id is anybody's: listed, or out by hand.
-func (h *Hand) Known(id string) bool { return h.listed[id] || h.bans[id] != nil }
+func (h *Overrides) Known(id string) bool { return h.listed[id] || h.bans[id] != nil }
 
 // Suspend takes an engine out; calls counts those since its first. An id that nobody
 // has gets ErrNoEngine and changes nothing.
-func (h *Hand) Suspend(id string, now decide.Millis) (calls int, err error) {
+func (h *Overrides) Suspend(id string, now decide.Millis) (calls int, err error) {
 	if !h.Known(id) {
 		return 0, fmt.Errorf("%w: %s", ErrNoEngine, id)
 	}
@@ -77,7 +77,7 @@
 
 // Restore lets an engine back, however many calls took it out; was tells whether it
 // was out at all. It counts as started now. An id nobody has gets ErrNoEngine.
-func (h *Hand) Restore(id string, now decide.Millis) (was bool, err error) {
+func (h *Overrides) Restore(id string, now decide.Millis) (was bool, err error) {
 	if !h.Known(id) {
 		return false, fmt.Errorf("%w: %s", ErrNoEngine, id)
 	}
@@ -96,10 +96,10 @@
 }
 
 // Out tells whether an engine is out by hand.
-func (h *Hand) Out(id string) bool { return h.bans[id] != nil }
+func (h *Overrides) Out(id string) bool { return h.bans[id] != nil }
 
 // Bans are those out now, by id.
-func (h *Hand) Bans() []Ban {
+func (h *Overrides) Bans() []Ban {
 	out := make([]Ban, 0, len(h.bans))
 	for _, b := range h.bans {
 		out = append(out, *b)
@@ -120,7 +120,7 @@
 
 // Entry is what the module is to be told of a line of the list: out by hand it is
 // draining, whatever the list says; let back by hand it started then.
-func (h *Hand) Entry(id string, e decide.EngineEntry) decide.EngineEntry {
+func (h *Overrides) Entry(id string, e decide.EngineEntry) decide.EngineEntry {
 	if e.State == decide.EngineGone {
 		return e
 	}
--- a/internal/oncall/oncall_test.go
+++ b/internal/oncall/oncall_test.go
@@ -13,7 +13,7 @@
 var active = decide.EngineEntry{ID: 1, State: decide.EngineReady}
 
 func TestTwoCallsOutAndOneBack(t *testing.T) {
-	h := NewHand()
+	h := NewOverrides()
 	h.Listed("s-1", true)
 	calls, err := h.Suspend("s-1", 100)
 	require.NoError(t, err)
@@ -33,7 +33,7 @@
 }
 
 func TestIdsNobodyHasChangeNothing(t *testing.T) {
-	h := NewHand()
+	h := NewOverrides()
 	h.Listed("s-1", true)
 	seq := h.Seq()
 	_, err := h.Suspend("s-2", 1)
@@ -45,7 +45,7 @@
 }
 
 func TestABanOutlivesTheEngineInTheList(t *testing.T) {
-	h := NewHand()
+	h := NewOverrides()
 	h.Listed("s-1", true)
 	_, _ = h.Suspend("s-1", 1)
 	h.Listed("s-1", false) // the list let it go, and it comes back under its name
@@ -59,7 +59,7 @@
 }
 
 func TestTheStateFileRoundTripsAndTheLaterWins(t *testing.T) {
-	old := NewHand()
+	old := NewOverrides()
 	old.Listed("s-1", true)
 	old.Listed("s-2", true)
 	_, _ = old.Suspend("s-1", 10)
@@ -67,7 +67,7 @@
 	_, _ = old.Restore("s-2", 30)
 	s, err := Decode(old.Encode(40))
 	require.NoError(t, err)
-	fresh := NewHand()
+	fresh := NewOverrides()
 	require.True(t, fresh.Adopt(s))
 	require.True(t, fresh.Out("s-1"))
 	require.Equal(t, decide.Millis(30), fresh.Entry("s-2", active).Started)
@@ -132,7 +132,7 @@
 // SUSPEND has no RESTORE after it, and the file gives another process the same view.
 func TestBansFollowTheLastCall(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := NewHand()
+		h := NewOverrides()
 		ids := []string{"s-1", "s-2", "s-3"}
 		for _, id := range ids[:2] {
 			h.Listed(id, true)
@@ -155,7 +155,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		other := NewHand()
+		other := NewOverrides()
 		other.Adopt(s)
 		for _, id := range ids {
 			if h.Out(id) != want[id] || other.Out(id) != want[id] {
--- a/internal/oncall/state.go
+++ b/internal/oncall/state.go
@@ -29,8 +29,8 @@
 	ErrCorrupt = errors.New("state file corrupt")
 )
 
-// Encode is the Hand's state as the file holds it.
-func (h *Hand) Encode(now decide.Millis) []byte {
+// Encode is the state as the file holds it.
+func (h *Overrides) Encode(now decide.Millis) []byte {
 	s := State{Version: Version, Seq: h.seq, Written: now, Bans: h.Bans(), Back: make([]Back, 0, len(h.back))}
 	for _, b := range h.back {
 		s.Back = append(s.Back, b)
@@ -63,12 +63,12 @@
 	return s, nil
 }
 
-// Seq counts the Hand's changes.
-func (h *Hand) Seq() uint64 { return h.seq }
+// Seq counts the changes.
+func (h *Overrides) Seq() uint64 { return h.seq }
 
 // Adopt takes a state that another process wrote, where it is later than what this
 // one holds; it tells whether it did. The list that this process follows stays its own.
-func (h *Hand) Adopt(s State) bool {
+func (h *Overrides) Adopt(s State) bool {
 	if s.Seq <= h.seq {
 		return false
 	}
--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -75,7 +75,7 @@
 		_ = os.Rename(f.path, aside)
 		return
 	}
-	p.core.Hand(func(h *oncall.Hand) bool {
+	p.core.Overrides(func(h *oncall.Overrides) bool {
 		if !h.Adopt(s) {
 			return false
 		}
@@ -96,11 +96,11 @@
 	p.readState(f, false)
 	var was uint64
 	var out []byte
-	p.core.Hand(func(h *oncall.Hand) bool { was = h.Seq(); return false })
+	p.core.Overrides(func(h *oncall.Overrides) bool { was = h.Seq(); return false })
 	if err := do(); err != nil {
 		return err
 	}
-	p.core.Hand(func(h *oncall.Hand) bool {
+	p.core.Overrides(func(h *oncall.Overrides) bool {
 		if h.Seq() != was {
 			out = h.Encode(millis(time.Now()))
 		}
@@ -304,7 +304,7 @@
 // onCall is the line of what on-call staff set by hand, for SIGUSR1.
 func (p *Program) onCall() string {
 	var out []string
-	p.core.Hand(func(h *oncall.Hand) bool {
+	p.core.Overrides(func(h *oncall.Overrides) bool {
 		for _, b := range h.Bans() {
 			out = append(out, fmt.Sprintf("%s:%d", b.ID, b.Calls))
 		}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -75,23 +75,23 @@
 
 // Program is one coordinator.
 type Program struct {
-	phase    atomic.Int32
-	since    time.Time // when it entered the phase
-	conf     *nodeconf.Config
-	logConf  logconf.Config
-	log      *slog.Logger
-	logLevel *slog.LevelVar
-	errOut   io.Writer
-	core     *routing.Core
-	roster   *transport.Roster
-	front    *transport.Listener
-	pool     *transport.Pool
-	stop     context.CancelFunc
-	admin    *transport.Listener // nil where there is no second address
-	peers    *transport.Peers    // nil where coordinators may not talk
-	drain    drain
-	state    *stateFile
-	live     *live
+	phase     atomic.Int32
+	since     time.Time // when it entered the phase
+	conf      *nodeconf.Config
+	logConf   logconf.Config
+	log       *slog.Logger
+	logLevel  *slog.LevelVar
+	errOut    io.Writer
+	core      *routing.Core
+	discovery *transport.Discovery
+	front     *transport.Listener
+	pool      *transport.Pool
+	stop      context.CancelFunc
+	admin     *transport.Listener // nil where there is no second address
+	peers     *transport.Peers    // nil where coordinators may not talk
+	drain     drain
+	state     *stateFile
+	live      *live
 
 	// The second front; nil where it is off.
 	rest      *transport.RestClients
@@ -234,9 +234,9 @@
 	}
 	p.state = newStateFile()
 	p.readState(p.state, true)
-	p.roster = transport.NewRoster(p.conf.Journal, p.core, p.log)
+	p.discovery = transport.NewDiscovery(p.conf.Journal, p.core, p.log)
 	if p.fleet != nil && p.fleet.Has(ownership.JobJournal) {
-		p.roster.Share(transport.NewSharedList(p.fleet, p.conf.Name, p.log))
+		p.discovery.Share(transport.NewSharedList(p.fleet, p.conf.Name, p.log))
 	}
 	clientFront := &transport.Clients{Core: p.core, Log: p.log, Pass: p.ready, Take: p.drain.take, Leaving: p.leaving,
 		In: transport.NewBudget(p.memory(inShare)), Out: transport.NewBudget(p.memory(answerShare))}
@@ -265,8 +265,8 @@
 	if p.peers != nil {
 		go p.peers.Run(ctx, p.core.Heard)
 	}
-	p.roster.Known(p.conf.Known)
-	go p.roster.Run(ctx)
+	p.discovery.Known(p.conf.Known)
+	go p.discovery.Run(ctx)
 	go p.front.Run()
 	go p.followState(ctx)
 	if p.admin != nil {
@@ -387,7 +387,7 @@
 		}
 	}
 	p.conf.Journal = c.Journal
-	p.roster.Move(c.Journal)
+	p.discovery.Move(c.Journal)
 	p.log.Info("configuration reloaded", "journal", c.Journal)
 }
 
@@ -398,7 +398,7 @@
 }
 
 func (p *Program) printCounters() {
-	text := p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall() + fmt.Sprintf("counters journal calls=%d\n", p.roster.Calls.Load())
+	text := p.core.Counts.String() + p.pool.String() + p.front.String() + p.onCall() + fmt.Sprintf("counters journal calls=%d\n", p.discovery.Calls.Load())
 	if p.peers != nil {
 		text += p.peers.String()
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -24,26 +24,26 @@
 
 // Core owns the gateway and all that is open.
 type Core struct {
-	set      decide.Settings
-	gateway  *decide.Gateway
-	dialer   Dialer
-	log      *slog.Logger
-	inbox    chan func()
-	done     chan struct{}
-	limit    int
-	room     int // bytes of statements that may still be taken
-	seq      atomic.Uint64
-	after    []func() // what the core's own goroutine put off until this event is done
-	requests map[decide.RequestID]*request
-	joins    *joins
-	calls    map[string]struct{} // the clients' names of what is in requests
-	engines  map[decide.EngineID]*engine
-	running  sync.WaitGroup
-	open     atomic.Int64
-	takenAt  atomic.Int64
-	hand     *hand
-	Counts   *Counters
-	Peers    Peers // set before Run; nil: there is no way to other coordinators
+	set       decide.Settings
+	gateway   *decide.Gateway
+	dialer    Dialer
+	log       *slog.Logger
+	inbox     chan func()
+	done      chan struct{}
+	limit     int
+	room      int // bytes of statements that may still be taken
+	seq       atomic.Uint64
+	after     []func() // what the core's own goroutine put off until this event is done
+	requests  map[decide.RequestID]*request
+	joins     *joins
+	calls     map[string]struct{} // the clients' names of what is in requests
+	engines   map[decide.EngineID]*engine
+	running   sync.WaitGroup
+	open      atomic.Int64
+	takenAt   atomic.Int64
+	overrides *overrides
+	Counts    *Counters
+	Peers     Peers // set before Run; nil: there is no way to other coordinators
 }
 
 // request is a query with what became of it.
@@ -90,10 +90,10 @@
 
 // engine is a member of the list and the way to it.
 type engine struct {
-	Member        // as the module was told of it, with the hand's word over the list's
-	listed Member // as the list gave it
-	way    Engine
-	ready  atomic.Bool
+	Member           // as the module was told of it, with the override's word over the list's
+	listed    Member // as the list gave it
+	transport Engine
+	ready     atomic.Bool
 }
 
 // NewCore returns a core whose loop is not yet running. The statements of all open
@@ -106,7 +106,7 @@
 	c := &Core{set: set, gateway: g, dialer: dialer, log: log, limit: maxOpen, room: statements,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, calls: map[string]struct{}{}, engines: map[decide.EngineID]*engine{},
-		joins: newJoins(), hand: newHand(), Counts: newCounters(set)}
+		joins: newJoins(), overrides: newOverrides(), Counts: newCounters(set)}
 	if set.MaxOpen > 0 {
 		c.limit = min(set.MaxOpen, maxOpen)
 	}
@@ -456,7 +456,7 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
-				if err := t.engine.way.Prioritize(ctx, r.query.Call, a.Priority); err != nil {
+				if err := t.engine.transport.Prioritize(ctx, r.query.Call, a.Priority); err != nil {
 					c.log.Debug("priority not set", "err", err)
 				}
 			}()
@@ -492,16 +492,16 @@
 			})
 		},
 		Ready: func() bool {
-			return e.ready.Load() && !c.hand.isOut(e.Name) && !r.gone.Load() && (a.Before == 0 || now() < a.Before)
+			return e.ready.Load() && !c.overrides.isOut(e.Name) && !r.gone.Load() && (a.Before == 0 || now() < a.Before)
 		}}
 	if try.Sink != nil {
 		try.Sink = &lively{Sink: try.Sink, tell: func() { try.Note(decide.ProgressPages, 0) }}
 	}
-	way := e.way
+	transport := e.transport
 	c.running.Add(1)
 	go func() {
 		defer c.running.Done()
-		res := way.Run(ctx, try)
+		res := transport.Run(ctx, try)
 		c.post(func() { c.ended(r, n, a.Engine, res) })
 	}()
 }
@@ -554,11 +554,11 @@
 		return
 	}
 	c.Counts.probes.Add(1)
-	at, way := time.Now(), e.way
+	at, transport := time.Now(), e.transport
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		o, load := way.Probe(ctx)
+		o, load := transport.Probe(ctx)
 		c.post(func() {
 			took := float64(time.Since(at).Microseconds()) / 1000
 			inFlight := -1.0
@@ -611,7 +611,7 @@
 			name, addr, busy, idle := "gone", "", 0, 0
 			if e := c.engines[v.ID]; e != nil {
 				name, addr = e.Name, e.Addr
-				busy, idle = e.way.Connections()
+				busy, idle = e.transport.Connections()
 			}
 			fmt.Fprintf(&b, "engine name=%s id=%d addr=%s ready=%t left_out=%t down=%t cold=%t strain=%.2f in_flight=%d "+
 				"report_age_ms=%.0f report_inflight=%.1f report_util=%.2f report_x0=%.2f report_x1=%.2f connections_busy=%d connections_idle=%d\n",
@@ -646,7 +646,7 @@
 		e = nil
 	}
 	if e == nil {
-		e = &engine{Member: m, way: c.dialer.Engine(m)}
+		e = &engine{Member: m, transport: c.dialer.Engine(m)}
 		c.engines[m.ID] = e
 	}
 	e.listed = listed
@@ -658,7 +658,7 @@
 func (c *Core) drop(id decide.EngineID) {
 	if e := c.engines[id]; e != nil {
 		e.ready.Store(false)
-		e.way.Close()
+		e.transport.Close()
 		delete(c.engines, id)
 	}
 }
--- a/internal/routing/hand.go
+++ b/internal/routing/overrides.go
@@ -8,26 +8,26 @@
 	"aniseloft/internal/oncall"
 )
 
-// hand keeps the engines out by hand where both the core's goroutine and the
+// overrides keeps the engines out by hand where both the core's goroutine and the
 // operators' calls reach them. What is out is also kept as a set that a send looks at
 // as its first byte goes: a ban holds from its yes, before the module has heard of it.
-type hand struct {
+type overrides struct {
 	mu    sync.Mutex
-	state *oncall.Hand
+	state *oncall.Overrides
 	out   atomic.Pointer[map[string]bool]
 }
 
-func newHand() *hand {
-	h := &hand{state: oncall.NewHand()}
+func newOverrides() *overrides {
+	h := &overrides{state: oncall.NewOverrides()}
 	h.out.Store(&map[string]bool{})
 	return h
 }
 
 // isOut tells whether an engine is out by hand; it takes no lock.
-func (h *hand) isOut(name string) bool { return (*h.out.Load())[name] }
+func (h *overrides) isOut(name string) bool { return (*h.out.Load())[name] }
 
 // changed rebuilds the set that sends look at; the lock is held.
-func (h *hand) changed() {
+func (h *overrides) changed() {
 	out := map[string]bool{}
 	for _, b := range h.state.Bans() {
 		out[b.ID] = true
@@ -38,10 +38,10 @@
 // Suspend takes the engine of that id out; calls counts the calls since the first.
 // It holds for new sends once it returns; the module hears of it soon after.
 func (c *Core) Suspend(id string) (calls int, err error) {
-	c.hand.mu.Lock()
-	calls, err = c.hand.state.Suspend(id, now())
-	c.hand.changed()
-	c.hand.mu.Unlock()
+	c.overrides.mu.Lock()
+	calls, err = c.overrides.state.Suspend(id, now())
+	c.overrides.changed()
+	c.overrides.mu.Unlock()
 	if err == nil {
 		go c.post(c.retell)
 	}
@@ -51,23 +51,23 @@
 // Restore lets the engine of that id back, as one that started just now; was tells
 // whether it was out.
 func (c *Core) Restore(id string) (was bool, err error) {
-	c.hand.mu.Lock()
-	was, err = c.hand.state.Restore(id, now())
-	c.hand.changed()
-	c.hand.mu.Unlock()
+	c.overrides.mu.Lock()
+	was, err = c.overrides.state.Restore(id, now())
+	c.overrides.changed()
+	c.overrides.mu.Unlock()
 	if was {
 		go c.post(c.retell)
 	}
 	return was, err
 }
 
-// Hand runs f on what is out by hand, under its lock: to read it, write it out, or
+// Overrides runs f on what is out by hand, under its lock: to read it, write it out, or
 // take what another process wrote. The module is told again where f says so.
-func (c *Core) Hand(f func(h *oncall.Hand) (changed bool)) {
-	c.hand.mu.Lock()
-	changed := f(c.hand.state)
-	c.hand.changed()
-	c.hand.mu.Unlock()
+func (c *Core) Overrides(f func(h *oncall.Overrides) (changed bool)) {
+	c.overrides.mu.Lock()
+	changed := f(c.overrides.state)
+	c.overrides.changed()
+	c.overrides.mu.Unlock()
 	if changed {
 		go c.post(c.retell)
 	}
@@ -75,20 +75,20 @@
 
 // entry is what the module is told of a member: the list's word, with the hand's over it.
 func (c *Core) entry(m Member) decide.EngineEntry {
-	c.hand.mu.Lock()
-	defer c.hand.mu.Unlock()
-	c.hand.state.Listed(m.Name, m.State != decide.EngineGone)
-	return c.hand.state.Entry(m.Name, m.EngineEntry)
+	c.overrides.mu.Lock()
+	defer c.overrides.mu.Unlock()
+	c.overrides.state.Listed(m.Name, m.State != decide.EngineGone)
+	return c.overrides.state.Entry(m.Name, m.EngineEntry)
 }
 
-// unlisted tells the hand that the list no longer names an engine.
+// unlisted tells the overrides that the list no longer names an engine.
 func (c *Core) unlisted(name string) {
-	c.hand.mu.Lock()
-	defer c.hand.mu.Unlock()
-	c.hand.state.Listed(name, false)
+	c.overrides.mu.Lock()
+	defer c.overrides.mu.Unlock()
+	c.overrides.state.Listed(name, false)
 }
 
-// retell tells the module again of every engine, with the hand's word over the list's.
+// retell tells the module again of every engine, with the override's word over the list's.
 func (c *Core) retell() {
 	var members []Member
 	for _, e := range c.engines {
--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -384,7 +384,7 @@
 	t.Cleanup(srv.Close)
 	pool := NewPool(8, patience, patience, slog.New(slog.DiscardHandler))
 	addr := srv.Listener.Addr().String()
-	return &paged{addr: addr, lane: pool.lane("a", addr)}
+	return &paged{addr: addr, hostPool: pool.hostPool("a", addr)}
 }
 
 func attempt(call string) routing.Attempt {
@@ -447,7 +447,7 @@
 	defer cancel()
 	require.Equal(t, decide.OutcomeLost, p.Run(ctx, attempt("1")).Outcome)
 	receive(t, withdrawing)
-	moved := &paged{addr: p.addr, lane: p.lane.pool.lane("b", p.addr)}
+	moved := &paged{addr: p.addr, hostPool: p.hostPool.pool.hostPool("b", p.addr)}
 	end := make(chan routing.Result, 1)
 	go func() { end <- moved.Run(ctx, attempt("1")) }()
 	close(goOn)
@@ -601,7 +601,7 @@
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			over := make(chan struct{})
-			go func() { defer close(over); NewRoster(addr, front.Core, slog.New(slog.DiscardHandler)).Run(ctx) }()
+			go func() { defer close(over); NewDiscovery(addr, front.Core, slog.New(slog.DiscardHandler)).Run(ctx) }()
 			defer func() { cancel(); <-over }()
 			receive(t, first)
 			require.Equal(t, 1, receive(t, tails), "from where the last whole answer ended")
--- a/internal/transport/roster.go
+++ b/internal/transport/discovery.go
@@ -37,8 +37,8 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// Roster follows the journal service.
-type Roster struct {
+// Discovery follows the journal service.
+type Discovery struct {
 	mu   sync.Mutex
 	addr string             // of the journal service
 	cut  context.CancelFunc // ends what is under way at that address
@@ -51,13 +51,13 @@
 	Calls  atomic.Int64 // to the journal service
 }
 
-// NewRoster returns a follower of the journal service at addr.
-func NewRoster(addr string, core *routing.Core, log *slog.Logger) *Roster {
-	return &Roster{addr: addr, set: core.Settings(), core: core, log: log}
+// NewDiscovery returns a follower of the journal service at addr.
+func NewDiscovery(addr string, core *routing.Core, log *slog.Logger) *Discovery {
+	return &Discovery{addr: addr, set: core.Settings(), core: core, log: log}
 }
 
 // Known takes the events of the start: together they are one list, possibly old.
-func (r *Roster) Known(b journal.Batch) {
+func (r *Discovery) Known(b journal.Batch) {
 	_, servers := r.fold(b.Entries)
 	r.tail = max(r.tail, b.Pos)
 	r.Shared.Read(true, servers)
@@ -67,7 +67,7 @@
 
 // fold takes events in their order, each once, as one change: of an engine that several
 // name the last word counts, so a replay never brings one back that is gone.
-func (r *Roster) fold(entries []journal.Entry) (full bool, servers []journal.Server) {
+func (r *Discovery) fold(entries []journal.Entry) (full bool, servers []journal.Server) {
 	last := map[string]journal.Server{}
 	var order []string
 	for _, e := range entries {
@@ -98,7 +98,7 @@
 
 // Move goes on at another address at once. The old service tells nothing more, so
 // a poll that waits there would leave a drain unheard until its end.
-func (r *Roster) Move(addr string) {
+func (r *Discovery) Move(addr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addr = addr
@@ -108,7 +108,7 @@
 }
 
 // here is the address to ask, and a context that ends once it is another.
-func (r *Roster) here(ctx context.Context) (string, context.Context, context.CancelFunc) {
+func (r *Discovery) here(ctx context.Context) (string, context.Context, context.CancelFunc) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at, cut := context.WithCancel(ctx)
@@ -117,7 +117,7 @@
 }
 
 // Run keeps a long poll up until ctx ends.
-func (r *Roster) Run(ctx context.Context) {
+func (r *Discovery) Run(ctx context.Context) {
 	wait := journalRetry
 	for ctx.Err() == nil {
 		if r.Shared.Fed() { // another reads for all; its silence shows within one of these rests
@@ -155,7 +155,7 @@
 var errFed = errors.New("another coordinator reads for all")
 
 // connection polls on one connection until it fails or ctx ends.
-func (r *Roster) connection(ctx context.Context, addr string) (heard bool, err error) {
+func (r *Discovery) connection(ctx context.Context, addr string) (heard bool, err error) {
 	d := net.Dialer{Timeout: reconnectIn * 2}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -204,7 +204,7 @@
 
 // await reads what comes of a poll. While it is out and not overdue, all who rely on this coordinator's
 // reading are told so.
-func (r *Roster) await(ctx context.Context, l *link, deadline time.Time) ([]byte, error) {
+func (r *Discovery) await(ctx context.Context, l *link, deadline time.Time) ([]byte, error) {
 	if r.Shared == nil {
 		return l.read(ctx, deadline)
 	}
@@ -219,16 +219,16 @@
 }
 
 // give takes what another coordinator has read.
-func (r *Roster) give(servers []journal.Server) {
+func (r *Discovery) give(servers []journal.Server) {
 	if members := r.members(servers); len(members) > 0 {
 		r.core.List(decide.ListDelta, members)
 	}
 }
 
 // Share lets one coordinator read for all; it must be called before Run.
-func (r *Roster) Share(l *SharedList) { r.Shared, l.give = l, r.give }
+func (r *Discovery) Share(l *SharedList) { r.Shared, l.give = l, r.give }
 
-func (r *Roster) members(servers []journal.Server) (members []routing.Member) {
+func (r *Discovery) members(servers []journal.Server) (members []routing.Member) {
 	for _, s := range servers {
 		if m, ok := r.member(s); ok {
 			members = append(members, m)
@@ -238,7 +238,7 @@
 }
 
 // take hands on what a batch brings.
-func (r *Roster) take(b journal.Batch) {
+func (r *Discovery) take(b journal.Batch) {
 	full, servers := r.fold(b.Entries)
 	r.Shared.Read(full, servers)
 	members := r.members(servers)
@@ -249,7 +249,7 @@
 	}
 }
 
-func (r *Roster) member(s journal.Server) (routing.Member, bool) {
+func (r *Discovery) member(s journal.Server) (routing.Member, bool) {
 	states := map[string]decide.EngineState{"active": decide.EngineReady, "leaving": decide.EngineDraining, "left": decide.EngineGone}
 	state, ok := states[s.State]
 	if !ok || s.ID == "" {
--- a/internal/transport/roster_test.go
+++ b/internal/transport/discovery_test.go
@@ -101,7 +101,7 @@
 
 // What 80 coordinators ask of the journal service adds up to what each may ask alone: one long poll each while it is
 // well, and while it is not no more dials than the backoff's least waits allow, spread rather than in step.
-func TestEightyRostersAddUp(t *testing.T) {
+func TestEightyWatchesAddUp(t *testing.T) {
 	const n = 80
 	c := countedJournal(t)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -112,7 +112,7 @@
 			Classes: []decide.Class{{Aim: 100, Deadline: 1000, Threads: 1}}}, 1, nil, log, 1<<20)
 		require.NoError(t, err)
 		all.Go(func() { core.Run(ctx) })
-		all.Go(func() { NewRoster(c.addr, core, log).Run(ctx) })
+		all.Go(func() { NewDiscovery(c.addr, core, log).Run(ctx) })
 	}
 	defer func() { cancel(); all.Wait() }()
 	asked := func() bool { sum, _ := c.between(c.calls, c.start, time.Now()); return sum >= n }
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -25,16 +25,16 @@
 
 // paged is an engine that speaks the platform's protocol.
 type paged struct {
-	addr string
-	lane *lane
+	addr     string
+	hostPool *hostPool
 }
 
 // Run carries one attempt out on a connection of its own.
 func (p *paged) Run(ctx context.Context, a routing.Attempt) routing.Result {
-	if err := p.lane.pool.withdrawn.wait(ctx, p.addr, a.Call); err != nil {
+	if err := p.hostPool.pool.withdrawn.wait(ctx, p.addr, a.Call); err != nil {
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: err.Error()}
 	}
-	c, err := p.lane.get(ctx)
+	c, err := p.hostPool.get(ctx)
 	if err != nil {
 		return notReached(ctx, err)
 	}
@@ -44,7 +44,7 @@
 	// The dial took time: a drain may have come. Nothing new goes to an engine
 	// that the list no longer calls ready.
 	if ctx.Err() != nil || !a.Ready() {
-		p.lane.put(c)
+		p.hostPool.put(c)
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
 	}
 	res, asked, err := p.converse(ctx, c, q, a.Note)
@@ -108,7 +108,7 @@
 				return nil, asked, err
 			}
 		}
-		fresh, derr := p.lane.again(ctx)
+		fresh, derr := p.hostPool.again(ctx)
 		if derr != nil {
 			return nil, asked, errors.Join(err, derr)
 		}
@@ -129,13 +129,13 @@
 		if n := step.Note; err == nil && n != nil {
 			note(progressKinds[n.Kind], n.Value)
 		} else if step.Odd {
-			p.lane.odd(oddNote)
+			p.hostPool.odd(oddNote)
 		}
 	}
 	if stop() && step.Keep {
-		p.lane.put(c)
+		p.hostPool.put(c)
 	} else {
-		p.lane.drop(c)
+		p.hostPool.drop(c)
 	}
 	return step, heard, err
 }
@@ -196,7 +196,7 @@
 	}
 	u, odd := engine.Report(text)
 	if odd {
-		p.lane.odd(oddReport)
+		p.hostPool.odd(oddReport)
 	}
 	get := func(k string) float64 {
 		if v, ok := u[k]; ok {
@@ -215,7 +215,7 @@
 // giveUp returns what tells the engine that nobody waits for an attempt any more. From now on a further
 // one under its call, which may come until the given time, waits here for the end of that.
 func (p *paged) giveUp(a routing.Attempt, asked, until time.Time) func() {
-	end := p.lane.pool.withdrawn.begin(p.addr, a.Call, until)
+	end := p.hostPool.pool.withdrawn.begin(p.addr, a.Call, until)
 	return func() {
 		end(p.withdraw(engine.Delete(p.addr, a.Call), a.Alone, minTime(asked.Add(forgetAfter), until)))
 	}
@@ -242,7 +242,7 @@
 // single makes one short call on a connection beside the queries'. All such calls may
 // be made twice: one whose connection was lost, as idle ones can be, is made once more.
 func (p *paged) single(ctx context.Context, out []byte) (status int, report string, err error) {
-	c, err := p.lane.get(ctx)
+	c, err := p.hostPool.get(ctx)
 	if err != nil {
 		return 0, "", err
 	}
@@ -250,7 +250,7 @@
 	if err == nil || ctx.Err() != nil || isTimeout(err) {
 		return status, report, err
 	}
-	if c, err = p.lane.dial(ctx); err != nil {
+	if c, err = p.hostPool.dial(ctx); err != nil {
 		return 0, "", err
 	}
 	return p.once(ctx, c, out)
@@ -260,9 +260,9 @@
 	keep := false
 	defer func() {
 		if keep {
-			p.lane.put(c)
+			p.hostPool.put(c)
 		} else {
-			p.lane.drop(c)
+			p.hostPool.drop(c)
 		}
 	}()
 	deadline, ok := ctx.Deadline()
@@ -315,7 +315,7 @@
 }
 
 // Connections counts those that carry calls now and those kept idle.
-func (p *paged) Connections() (busy, idle int) { return p.lane.connections() }
+func (p *paged) Connections() (busy, idle int) { return p.hostPool.connections() }
 
 // Close drops what is kept for the engine.
-func (p *paged) Close() { p.lane.close() }
+func (p *paged) Close() { p.hostPool.close() }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -61,7 +61,7 @@
 	open    int
 	connect time.Duration
 	maxIdle time.Duration
-	idle    map[*lane]struct{}
+	idle    map[*hostPool]struct{}
 	log     *slog.Logger
 	counts  struct{ dialled, reused, stolen, expired, stale, spent, resumed atomic.Int64 }
 	odds    [oddKinds]oddity // words of engines that could not be used
@@ -78,7 +78,7 @@
 
 var oddNames = [oddKinds]string{"report", "note"}
 
-func (l *lane) odd(kind int) {
+func (l *hostPool) odd(kind int) {
 	l.pool.odds[kind].saw(l.pool.log, "word of an engine not used", oddNames[kind], l.name)
 }
 
@@ -92,9 +92,9 @@
 		p.odds[oddReport].seen.Load(), p.odds[oddNote].seen.Load())
 }
 
-// lane is the idle connections of one engine. A new engine may get an old
+// hostPool is the idle connections of one engine. A new engine may get an old
 // address, so connections belong to an engine and never to an address.
-type lane struct {
+type hostPool struct {
 	pool   *Pool
 	name   string // of its engine, for the log
 	addr   string
@@ -104,7 +104,7 @@
 }
 
 // connections counts those that carry calls and those that idle.
-func (l *lane) connections() (busy, idle int) {
+func (l *hostPool) connections() (busy, idle int) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	return l.held - len(l.idle), len(l.idle)
@@ -112,12 +112,12 @@
 
 // NewPool returns a pool that opens at most limit connections.
 func NewPool(limit int, connect, maxIdle time.Duration, log *slog.Logger) *Pool {
-	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, log: log, idle: map[*lane]struct{}{},
+	return &Pool{limit: limit, connect: connect, maxIdle: maxIdle, log: log, idle: map[*hostPool]struct{}{},
 		withdrawn: withdrawals{of: map[withdrawal]*pending{}}}
 }
 
-func (p *Pool) lane(name, addr string) *lane {
-	l := &lane{pool: p, name: name, addr: addr}
+func (p *Pool) hostPool(name, addr string) *hostPool {
+	l := &hostPool{pool: p, name: name, addr: addr}
 	p.mu.Lock()
 	p.idle[l] = struct{}{}
 	p.mu.Unlock()
@@ -125,7 +125,7 @@
 }
 
 // reserve takes a descriptor, if need be from an idle connection.
-func (l *lane) reserve() bool {
+func (l *hostPool) reserve() bool {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,7 +148,7 @@
 	return false
 }
 
-func (l *lane) release() {
+func (l *hostPool) release() {
 	l.pool.mu.Lock()
 	l.pool.open--
 	l.held--
@@ -156,14 +156,14 @@
 }
 
 // get returns an idle connection that still stands, or a new one.
-func (l *lane) get(ctx context.Context) (*link, error) {
+func (l *hostPool) get(ctx context.Context) (*link, error) {
 	if c := l.takeIdle(); c != nil {
 		return c, nil
 	}
 	return l.dial(ctx)
 }
 
-func (l *lane) takeIdle() *link {
+func (l *hostPool) takeIdle() *link {
 	for {
 		c := l.popIdle()
 		if c == nil {
@@ -183,7 +183,7 @@
 }
 
 // popIdle takes the connection that idles the least, but for the settle time.
-func (l *lane) popIdle() *link {
+func (l *hostPool) popIdle() *link {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	for i := len(l.idle) - 1; i >= 0; i-- {
@@ -196,7 +196,7 @@
 }
 
 // dial opens a connection; one that takes too long has failed.
-func (l *lane) dial(ctx context.Context) (*link, error) {
+func (l *hostPool) dial(ctx context.Context) (*link, error) {
 	if !l.reserve() {
 		return nil, errNoDescriptor
 	}
@@ -224,7 +224,7 @@
 }
 
 // again opens a fresh connection to ask on for what runs already. A descriptor comes free sooner or later: a running query is not given up for it.
-func (l *lane) again(ctx context.Context) (*link, error) {
+func (l *hostPool) again(ctx context.Context) (*link, error) {
 	l.pool.counts.resumed.Add(1)
 	for {
 		c, err := l.dial(ctx)
@@ -243,7 +243,7 @@
 }
 
 // put returns a connection that can carry another call, and drops what idled too long.
-func (l *lane) put(c *link) {
+func (l *hostPool) put(c *link) {
 	c.idled = time.Now()
 	l.pool.mu.Lock()
 	var old []*link
@@ -261,13 +261,13 @@
 	}
 }
 
-func (l *lane) drop(c *link) {
+func (l *hostPool) drop(c *link) {
 	_ = c.net.Close()
 	l.release()
 }
 
 // close drops what idles; what is in use is dropped when it comes back.
-func (l *lane) close() {
+func (l *hostPool) close() {
 	l.pool.mu.Lock()
 	old := l.idle
 	l.idle, l.closed = nil, true
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -21,7 +21,7 @@
 
 // Engine is the way to one engine.
 func (d ByKind) Engine(m routing.Member) routing.Engine {
-	p := &paged{addr: m.Addr, lane: d.Pool.lane(m.Name, m.Addr)}
+	p := &paged{addr: m.Addr, hostPool: d.Pool.hostPool(m.Name, m.Addr)}
 	if m.Kind >= 0 && m.Kind < len(d.Kinds) && d.Rest[d.Kinds[m.Kind]] {
 		return &restEngine{paged: p, user: d.User}
 	}
@@ -36,17 +36,17 @@
 
 // Run carries one attempt out on a connection of its own.
 func (e *restEngine) Run(ctx context.Context, a routing.Attempt) routing.Result {
-	c, err := e.lane.get(ctx)
+	c, err := e.hostPool.get(ctx)
 	if err != nil {
 		return notReached(ctx, err)
 	}
 	if ctx.Err() != nil || !a.Ready() { // the dial took time: see paged.Run
-		e.lane.put(c)
+		e.hostPool.put(c)
 		return routing.Result{Outcome: decide.OutcomeNotSent, Why: "not ready or over as the first byte went"}
 	}
 	if a.Sink != nil {
 		if err := a.Sink.Restart(); err != nil {
-			e.lane.put(c)
+			e.hostPool.put(c)
 			return routing.Result{Outcome: decide.OutcomeNotSent, Why: err.Error()}
 		}
 	}
@@ -100,12 +100,12 @@
 			lost++
 		}
 		out = q.Resume()
-		fresh, derr := e.lane.again(ctx) // where there is nothing to ask, it tells whether the engine is there
+		fresh, derr := e.hostPool.again(ctx) // where there is nothing to ask, it tells whether the engine is there
 		if derr != nil {
 			return nil, errors.Join(err, derr)
 		}
 		if out == nil || lost > maxResumes {
-			e.lane.put(fresh)
+			e.hostPool.put(fresh)
 			return nil, err
 		}
 		c = fresh
@@ -135,9 +135,9 @@
 		heard = heard || err == nil && (step.Result != nil || step.Fresh || len(out) > 0)
 	}
 	if stop() && step.Keep {
-		e.lane.put(c)
+		e.hostPool.put(c)
 	} else {
-		e.lane.drop(c)
+		e.hostPool.drop(c)
 	}
 	return step, heard, err
 }
