A list that comes slowly and steadily is heard, rather than begun again for ever

Found by reading Discovery.connection: an answer had 1.6 s to come whole from its call, whatever of it had come. On a slow connection every try was cut off at the same place, and drains were never heard. Change: where a list had begun and ran out of time, the next try has twice as long past its wait, up to 6 s (what the service tells counts as told 7 s afterwards, and it may wait a second to tell); a whole answer sets it back. A watch that says nothing is still left after 1.6 s, and a connection that stops mid-list too. Test: a list in 30 pieces over 2.2 s is never heard without the mend.

--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -632,3 +632,30 @@
 	write(t, client, message[:10])
 	require.Eventually(t, func() bool { return !l.Writing() }, patience, time.Millisecond)
 }
+
+// A list that came slowly and steadily, but not whole within the time of a poll, was cut off and begun again for ever.
+func TestASlowListIsHeardInTheEnd(t *testing.T) {
+	front, _ := frontOf(t, false)
+	addr := listService(t, func(c net.Conn, tail int) {
+		if tail > 0 {
+			<-t.Context().Done()
+			return
+		}
+		list := listAnswer(1, listEntry(1, true, oneActive))
+		// In 30 pieces, longer than a poll's whole time: the wait and what it may be late.
+		pause := (journalWait*time.Millisecond + 2*journalSlack) / 30
+		for n := 30; n > 0 && len(list) > 0; n-- {
+			size := (len(list) + n - 1) / n
+			if _, err := io.WriteString(c, list[:size]); err != nil {
+				return
+			}
+			list = list[size:]
+			time.Sleep(pause)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	over := make(chan struct{})
+	go func() { defer close(over); NewDiscovery(addr, front.Core, slog.New(slog.DiscardHandler)).Run(ctx) }()
+	defer func() { cancel(); <-over }()
+	require.Eventually(t, func() bool { return strings.Contains(front.Core.Beliefs(), "name=one id=") }, patience, time.Millisecond)
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -23,9 +23,12 @@
 	// news counts as told 2 s after the end of the wait, heard or not.
 	journalWait  = 1000 // ms
 	journalSlack = 600 * time.Millisecond
-	journalRetry = 50 * time.Millisecond
-	journalMost  = 500 * time.Millisecond // backoff stays short: the drain rule counts from what is told
-	reconnectIn  = 250 * time.Millisecond
+	// journalPatience is the longest that a list may take to come whole, once its first bytes were there in
+	// time: what the service has to tell counts as told 7 s afterwards, and it may have waited a second to tell.
+	journalPatience = 6 * time.Second
+	journalRetry    = 50 * time.Millisecond
+	journalMost     = 500 * time.Millisecond // backoff stays short: the drain rule counts from what is told
+	reconnectIn     = 250 * time.Millisecond
 )
 
 func isTimeout(err error) bool {
@@ -44,8 +47,11 @@
 	cut  context.CancelFunc // ends what is under way at that address
 	set  decide.Settings
 	tail int64
-	core *routing.Core
-	log  *slog.Logger
+	// slack is how long past its wait an answer may take. It grows while lists come slowly, and not whole
+	// in time: each try would else be cut off where the one before was.
+	slack time.Duration
+	core  *routing.Core
+	log   *slog.Logger
 	// Shared is the list that one coordinator reads for all; nil: each reads for itself.
 	Shared *SharedList
 	Calls  atomic.Int64 // to the journal service
@@ -53,7 +59,7 @@
 
 // NewDiscovery returns a follower of the journal service at addr.
 func NewDiscovery(addr string, core *routing.Core, log *slog.Logger) *Discovery {
-	return &Discovery{addr: addr, set: core.Settings(), core: core, log: log}
+	return &Discovery{addr: addr, set: core.Settings(), core: core, log: log, slack: journalSlack}
 }
 
 // Known takes the events of the start: together they are one list, possibly old.
@@ -175,19 +181,24 @@
 		if err := l.write(ctx, journal.Ask(addr, r.tail, wait), time.Now().Add(journalSlack)); err != nil {
 			return heard, err
 		}
-		deadline := time.Now().Add(time.Duration(wait)*time.Millisecond + journalSlack)
+		deadline := time.Now().Add(time.Duration(wait)*time.Millisecond + r.slack)
 		wait = journalWait
 		var batch *journal.Batch
-		keep := false
+		keep, begun := false, false
 		for batch == nil {
 			b, err := r.await(ctx, l, deadline)
 			if err != nil {
+				if begun && isTimeout(err) {
+					r.slack = min(2*r.slack, journalPatience)
+				}
 				return heard, err
 			}
+			begun = true
 			if batch, keep, err = poll.Feed(b); err != nil {
 				return heard, err
 			}
 		}
+		r.slack = journalSlack
 		was := r.tail
 		r.take(*batch)
 		if !keep {
