--- a/cmd/aniseloft/crossings_test.go
+++ b/cmd/aniseloft/crossings_test.go
@@ -291,3 +291,28 @@
 	require.Equal(t, 400, p.post("Trip-Lookup", "", "x").status)
 	require.Zero(t, e.count(&e.started, "x"))
 }
+
+// Another process holds the state file's lock and stands still: a ban is answered in its time all the same, holds, and is in
+// the file whole.
+func TestABanDoesNotWaitForTheStateFilesLock(t *testing.T) {
+	t.Parallel()
+	p, e, _ := world(t, false)
+	state := filepath.Join(p.dir, "tmp", "aniseloft-state.json")
+	fd, err := syscall.Open(state+".lock", syscall.O_CREAT|syscall.O_RDWR, 0o600)
+	require.NoError(t, err)
+	defer syscall.Close(fd)
+	require.NoError(t, syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB))
+	a, err := net.Dial("tcp", p.admin)
+	require.NoError(t, err)
+	defer a.Close()
+	require.NoError(t, a.SetDeadline(time.Now().Add(patience)))
+	_, _ = io.WriteString(a, "SUSPEND s-00000001\n")
+	answer, err := io.ReadAll(a)
+	require.NoError(t, err)
+	require.Equal(t, "ACK s-00000001 out\n", string(answer))
+	text, err := os.ReadFile(state)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "s-00000001")
+	require.Contains(t, dial(t, p.listen).call(query(1, "trip-lookup", "x", 300)), `"error"`)
+	require.Zero(t, e.count(&e.started, "x"))
+}
