--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -69,20 +69,10 @@
 	go func() { defer close(over); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-over })
 	return c, p, func() {
-		c.List(ListOf(1))
+		c.List(decide.ListFull, []Member{{Name: "a", Addr: "127.0.0.1:1", EngineEntry: decide.EngineEntry{ID: 1, State: decide.EngineReady}}})
 	}
 }
 
-// ListOf is a full list of n engines of no engine's start.
-func ListOf(n int) (decide.ListKind, []Member) {
-	var l []Member
-	for i := range n {
-		l = append(l, Member{Name: string(rune('a' + i)), Addr: "127.0.0.1:1",
-			EngineEntry: decide.EngineEntry{ID: decide.EngineID(i + 1), State: decide.EngineReady}})
-	}
-	return decide.ListFull, l
-}
-
 // settled waits until the core has handled all that was posted before.
 func settled(t *testing.T, c *Core) {
 	done := make(chan struct{})
--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -269,16 +269,16 @@
 func (c *crossed) CloseWrite() error { c.cross(); return c.TCPConn.CloseWrite() }
 func (c *crossed) Close() error      { c.cross(); return c.TCPConn.Close() }
 
-// Both fronts: a message that each answers, and the way to serve a connection.
-type served2 struct {
+// frontCase is one of both fronts: a message that it answers, and how it serves a connection.
+type frontCase struct {
 	name    string
 	serve   func(leaving func() bool) func(context.Context, *ClientConn)
 	message string
 	answer  string
 }
 
-func bothFronts(t *testing.T) []served2 {
-	return []served2{
+func bothFronts(t *testing.T) []frontCase {
+	return []frontCase{
 		{"jsonrpc", func(leaving func() bool) func(context.Context, *ClientConn) {
 			front, _ := frontOf(t, false)
 			front.Leaving = leaving
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -25,9 +25,9 @@
 	// firstBy is how long a connection that came during a drain may take to send its first
 	// message, which is then served; one that says nothing for so long is closed.
 	firstBy = 300 * time.Millisecond
-	// Lingering is how many connections of a front may drop what still comes on them beyond its
+	// lingering is how many connections of a front may drop what still comes on them beyond its
 	// limit, as another has their place; where more go, they are closed at once.
-	Lingering = 4
+	lingering = 4
 	// lingerMost bounds what is dropped on one connection, in bytes.
 	lingerMost = 1 << 20
 )
@@ -290,7 +290,7 @@
 		return nil, err
 	}
 	l := &Listener{net: n, limit: limit, conns: map[*ClientConn]struct{}{}, serve: serve, log: log,
-		ran: make(chan struct{}), places: make(chan struct{}, Lingering)}
+		ran: make(chan struct{}), places: make(chan struct{}, lingering)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l, nil
 }
