--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -505,6 +505,9 @@
 		}
 		require.NotContains(t, p.logged(), "DATA RACE")
 		require.NotContains(t, p.logged(), "panicked")
+		if t.Failed() {
+			t.Logf("log of the program:\n%s", p.logged())
+		}
 	})
 	// The clients' address may be another process's too: this one is asked at its own.
 	eventually(t, func() bool {
