A key remembers what may have run under it: no repeat past its window or out of its scope

Seen, by reading joins and settle: what ran under a key and ended unserved was forgotten with its request. Who waited behind it, and who came again under the key, was taken as if nothing had run: sent past repeatWindowMs, or, where only engines of a zone or cell drop repeats, to another one. A test over the started program showed it: a load that may have run reached an engine again 0.4 s after a window of 0.4 s. At fault: Core.settle, take (a new Arrived with nothing of the earlier run), joins.end.

Arrived carries it (EarlierRun), and the module heeds it like an attempt of the request's own: mustNotRun is the one place for that rule. A repeat that must not run is answered as it comes. It is failed, no longer refused: past the window to try again is not harmless, which TestAFurtherAttemptDoesNotBeginOutsideItsWindow now asks too (it asked for a refusal).

Tests, each seen to fail with its part out: past the window and in the zone (routing), one that never ran, the same over the started program, answered at once (decide); the drawn histories have repeats under keys and fail with Arrived.Ran unheeded.

--- a/cmd/aniseloft/second_test.go
+++ b/cmd/aniseloft/second_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"aniseloft/decide"
+	"aniseloft/internal/testdir"
 )
 
 // secondSettings differ from the first deployment's in every switch: no probes, priorities, grants, told
@@ -31,7 +32,7 @@
  "rules":{"answerSlackMs":20,"coldFrom":0.31,"coldMs":14000,"drainGraceMs":2000,"fallMs":2000,"fallMultiple":3,"repeatRatio":0.1,"spareAttempts":2,"resendSpanMs":5000}}`
 
 func secondWorld(t *testing.T, rest bool) (*node, *engine) {
-	e, j, dir, store := newEngine(t, false), newJournal(t), t.TempDir(), ""
+	e, j, dir, store := newEngine(t, false), newJournal(t), testdir.Dir(t), ""
 	j.add(true, server(1, e, "active"))
 	if rest {
 		store = filepath.Join(dir, "record.db")
@@ -90,7 +91,7 @@
 	stranger, _ := udpAddr(t)
 	own, ownAt := udpAddr(t)
 	own.Close()
-	p := &node{t: t, dir: t.TempDir(), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{},
+	p := &node{t: t, dir: testdir.Dir(t), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{},
 		set:   strings.Replace(secondSettings, `"balancers":1`, `"balancers":2`, 1),
 		limit: 128,
 		more:  fmt.Sprintf(`"peer_listen":%q,"peers":[%q,%q],"peers_all":%q,`, ownAt, ownAt, peerAt, peerAt)}
@@ -149,9 +150,9 @@
 	t.Parallel()
 	e, j := newEngine(t, false), newJournal(t)
 	j.add(true, server(1, e, "active"))
-	p := runSet(t, t.TempDir(), j, "", 600, `{}`, strings.Replace(secondSettings, `"me":0`, `"me":0,"fancy":[1,2]`, 1))
+	p := runSet(t, testdir.Dir(t), j, "", 600, `{}`, strings.Replace(secondSettings, `"me":0`, `"me":0,"fancy":[1,2]`, 1))
 	p.told(`msg=settings field=fancy value=[1,2] says="this program does not know the field" then="it is passed over"`)
-	p = &node{t: t, dir: t.TempDir(), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{},
+	p = &node{t: t, dir: testdir.Dir(t), listen: freeAddr(t), admin: freeAddr(t), log: &bytes.Buffer{},
 		set: strings.Replace(secondSettings, `"me":0`, `"me":4`, 1)}
 	p.configure(j)
 	c := exec.Command(binary)
@@ -201,6 +202,26 @@
 	require.Equal(t, "a\tb\tc\n", served(t, second.line()))
 }
 
+// What may have run under a key goes to no engine again once none of them would drop it.
+func TestARepeatPastItsWindowReachesNoEngine(t *testing.T) {
+	t.Parallel()
+	const window = 400 * time.Millisecond
+	e, j := newEngine(t, false), newJournal(t)
+	j.add(true, server(1, e, "active"))
+	p := runSet(t, testdir.Dir(t), j, "", 600, `{}`, strings.Replace(secondSettings, `"repeatWindowMs":9000`, `"repeatWindowMs":400`, 1))
+	c, load, key := dial(t, p.listen), "insert fail into s_1.x", `"dedupe":"k1",`
+	require.Contains(t, c.call(keyed(1, load, key)), `"error"`)
+	for ended := time.Now(); time.Since(ended) < window; { // it began before
+		time.Sleep(time.Millisecond)
+	}
+	was := e.count(&e.started, load)
+	require.Positive(t, was)
+	require.Contains(t, c.call(keyed(2, load, key+`"rep":"1",`)), `"code":-32001`, "it may have run, and to try again is not harmless")
+	require.Equal(t, was, e.count(&e.started, load))
+	require.Contains(t, c.call(keyed(3, load, `"dedupe":"k2",`)), `"error"`)
+	require.Greater(t, e.count(&e.started, load), was, "another key is another load")
+}
+
 func TestOddWordsOfEnginesAreCountedAndChangeNothing(t *testing.T) {
 	t.Parallel()
 	p, e := secondWorld(t, false)
--- a/decide/api.go
+++ b/decide/api.go
@@ -183,6 +183,13 @@
 	ReportAge Millis  // below 0: there is none
 }
 
+// EarlierRun is the first attempt under a key that may have run: when it began, on the caller's clock,
+// and where. What may follow under that key hangs on it, whichever request it was of.
+type EarlierRun struct {
+	At         Millis
+	Zone, Cell int
+}
+
 // Event is something that happened; see the types below.
 type Event interface{ event() }
 
@@ -204,6 +211,7 @@
 		Cost     float64 // estimated work of all threads, ms; 0: none
 		MemoryMB float64 // estimated; 0: none
 		Retry    bool
+		Ran      *EarlierRun // under its key, of another request; nil: none that is known of
 	}
 	// AnswerStarted tells that a stream has begun.
 	AnswerStarted struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -282,13 +282,20 @@
 	if r.mayRunAt == never || c.Repeat == RepeatSafe {
 		return true
 	}
-	if c.Repeat == RepeatOnce || g.now >= r.mayRunAt+c.RepeatWindow {
+	if g.mustNotRun(r) {
 		return false
 	}
 	return c.Scope == ScopeAll || c.Scope == ScopeZone && e.Zone == r.runAt.Zone ||
 		c.Scope == ScopeCell && e.Cell == r.runAt.Cell
 }
 
+// mustNotRun tells whether the request may have run where no engine would drop a repeat any more.
+func (g *Gateway) mustNotRun(r *request) bool {
+	c := g.classes[r.Class]
+	late := c.Repeat == RepeatKeyed && g.now >= r.mayRunAt+c.RepeatWindow
+	return r.mayRunAt != never && (late || c.Repeat == RepeatOnce)
+}
+
 // cold tells whether the engine may not yet do its full work.
 func (g *Gateway) cold(e *engine) bool {
 	return e.Started > 0 && g.now < e.Started+g.set.Rules.ColdFor
@@ -437,6 +444,9 @@
 	g.seq++
 	r := &request{Arrived: ev, seq: g.seq, at: g.now, deadline: g.now + ev.Left, mayRunAt: never,
 		draw: g.rng.Float64()}
+	if ev.Ran != nil {
+		r.mayRunAt, r.runAt = ev.Ran.At, EngineEntry{Zone: ev.Ran.Zone, Cell: ev.Ran.Cell}
+	}
 	g.requests[ev.ID] = r
 	g.asksLeft = min(g.asksLeft+g.asksEach(), 2*askMost)
 	if g.anew = min(g.anew+anewShare, anewMost); g.set.Rules.Rationed {
@@ -456,7 +466,7 @@
 		k.line = append(k.line, r)
 	}
 	if g.crowded || !g.dispatch(r) {
-		if g.heldQ = append(g.heldQ, r); g.ending(r) {
+		if g.heldQ = append(g.heldQ, r); g.ending(r) || g.mustNotRun(r) {
 			g.giveUp(r)
 		}
 	}
@@ -592,7 +602,7 @@
 	r.mem = g.holds(r, e)
 	before := 0.0
 	if r.mayRunAt == never {
-		r.mayRunAt, r.runAt = g.now, e
+		r.mayRunAt, r.runAt = g.now, e.EngineEntry
 	} else if c.Repeat == RepeatKeyed {
 		before = r.mayRunAt + c.RepeatWindow // a dial in between takes time
 	}
@@ -648,7 +658,7 @@
 // giveUp answers at once: a refusal with a time to come back where that is safe, else a failure.
 func (g *Gateway) giveUp(r *request) {
 	c := g.classes[r.Class]
-	if r.mayRunAt == never || c.Repeat == RepeatSafe || c.Repeat == RepeatKeyed && c.Scope == ScopeAll {
+	if r.mayRunAt == never || c.Repeat == RepeatSafe || c.Scope == ScopeAll && !g.mustNotRun(r) {
 		g.do(Refuse{r.ID, g.set.MaxComeBack})
 	} else {
 		g.do(Fail{r.ID})
@@ -677,11 +687,10 @@
 	if r.attempts >= g.set.MaxAttempts || g.now+g.unloaded(r) >= r.deadline {
 		return false
 	}
-	c, ru := g.classes[r.Class], g.set.Rules
-	if r.mayRunAt != never && (c.Repeat == RepeatOnce ||
-		c.Repeat == RepeatKeyed && g.now >= r.mayRunAt+c.RepeatWindow) {
+	if g.mustNotRun(r) {
 		return false
 	}
+	ru := g.set.Rules
 	if !ru.Rationed {
 		return true
 	}
@@ -897,7 +906,7 @@
 func (g *Gateway) expire() {
 	for _, r := range g.heldQ {
 		late := g.now+g.unloaded(r) > g.aim(r) && g.now > r.at
-		if !r.over && (late || g.ending(r) || r.attempts > 0 && !g.mayRetry(r)) {
+		if !r.over && (late || g.ending(r) || g.mustNotRun(r) || r.attempts > 0 && !g.mayRetry(r)) {
 			g.giveUp(r)
 		}
 	}
--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"testing"
 )
@@ -130,6 +131,21 @@
 	}
 }
 
+// A repeat that engines would not drop any more is answered as it comes, and not told that it may come again.
+func TestARepeatPastItsWindowIsAnsweredAtOnce(t *testing.T) {
+	set := plainSettings()
+	set.Classes[1].Repeat, set.Classes[1].RepeatWindow = RepeatKeyed, 500
+	s := newScript(t, set, 3)
+	s.at(1000, Arrived{ID: "in time", Class: 1, Left: 3000, Ran: &EarlierRun{At: 501}})
+	if s.sentTo("in time") == 0 {
+		t.Fatalf("a repeat inside its window is not sent: %v", s.acts)
+	}
+	s.at(1001, Arrived{ID: "late", Class: 1, Left: 3000, Ran: &EarlierRun{At: 501}})
+	if s.sentTo("late") != 0 || !slices.Contains(s.acts, Action(Fail{"late"})) {
+		t.Fatalf("a repeat past its window: %v", s.acts)
+	}
+}
+
 func TestHomesAgreeBetweenGateways(t *testing.T) {
 	for group := range uint64(20) {
 		a := newScript(t, plainSettings(), 5)
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -32,11 +32,15 @@
 	return n > 0 && !r.attempts[n-1].over
 }
 
-// mayHaveRun is the first attempt not proved to have never run.
-func (r *bookRequest) mayHaveRun() *bookAttempt {
+// mayHaveRun is the first attempt not proved to have never run: under its key, or of the request itself.
+func (b *books) mayHaveRun(r *bookRequest) *EarlierRun {
+	if r.ev.Ran != nil {
+		return r.ev.Ran
+	}
 	for _, a := range r.attempts {
 		if !a.over || a.out != OutcomeFull && a.out != OutcomeConnectFailed && a.out != OutcomeNotSent {
-			return a
+			e := b.told[a.engine]
+			return &EarlierRun{a.sent, e.Zone, e.Cell}
 		}
 	}
 	return nil
@@ -144,9 +148,9 @@
 		b.checkSend(a)
 	case Refuse:
 		r := b.final(a.ID)
-		if m := r.mayHaveRun(); m != nil {
+		if m := b.mayHaveRun(r); m != nil {
 			c := b.set.Classes[r.ev.Class]
-			if c.Repeat == RepeatOnce || c.Repeat == RepeatKeyed && c.Scope != ScopeAll {
+			if c.Repeat == RepeatOnce || c.Repeat == RepeatKeyed && (c.Scope != ScopeAll || b.now >= m.At+c.RepeatWindow) {
 				b.fail("rule 2: %s refused though it may have run", a.ID)
 			}
 		}
@@ -227,13 +231,12 @@
 }
 
 func (b *books) checkRepeat(r *bookRequest, c Class, e EngineEntry) {
-	m := r.mayHaveRun()
+	m := b.mayHaveRun(r)
 	if m == nil || c.Repeat == RepeatSafe {
 		return
 	}
-	was := b.told[m.engine]
-	in := c.Scope == ScopeAll || c.Scope == ScopeZone && was.Zone == e.Zone || c.Scope == ScopeCell && was.Cell == e.Cell
-	if c.Repeat == RepeatOnce || !in || b.now-m.sent > c.RepeatWindow {
+	in := c.Scope == ScopeAll || c.Scope == ScopeZone && m.Zone == e.Zone || c.Scope == ScopeCell && m.Cell == e.Cell
+	if c.Repeat == RepeatOnce || !in || b.now-m.At > c.RepeatWindow {
 		b.fail("rule 2: %s sent again", r.ev.ID)
 	}
 }
@@ -387,6 +390,9 @@
 	if b.rng.IntN(2) == 0 {
 		ev.Cost, ev.MemoryMB = b.work[i]*(0.5+b.rng.Float64()), 200
 	}
+	if c := b.set.Classes[i]; c.Repeat == RepeatKeyed && b.rng.IntN(3) == 0 { // a repeat under its key
+		ev.Ran = &EarlierRun{b.now - 1.2*c.RepeatWindow*b.rng.Float64(), b.rng.IntN(2), b.rng.IntN(3)}
+	}
 	r := &bookRequest{ev: ev, deadline: b.now + ev.Left, seq: b.seq}
 	b.reqs[ev.ID] = r
 	b.order = append(b.order, r)
--- a/decide/state.go
+++ b/decide/state.go
@@ -115,14 +115,14 @@
 	load     float64
 	kind     int // of its class as its attempt began: short or long
 	mem      float64
-	spills   bool      // its attempt has told of a spill
-	suspect  bool      // once cancelled for its pace
-	leaving  bool      // its attempt was cancelled
-	mayRunAt Millis    // earliest attempt that may have run; never: none
-	runAt    *engine   // where that was
-	asked    []*engine // that were probed for it
-	avoid    EngineID  // where it last failed
-	draw     float64   // its lot, 0 to 1: which part of a flow it is when a flow is split
+	spills   bool        // its attempt has told of a spill
+	suspect  bool        // once cancelled for its pace
+	leaving  bool        // its attempt was cancelled
+	mayRunAt Millis      // earliest attempt that may have run; never: none
+	runAt    EngineEntry // where that was
+	asked    []*engine   // that were probed for it
+	avoid    EngineID    // where it last failed
+	draw     float64     // its lot, 0 to 1: which part of a flow it is when a flow is split
 }
 
 // keyLine is the line of an ordered key.
@@ -542,6 +542,6 @@
 // neverRan forgets an attempt that is known not to have run.
 func (g *Gateway) neverRan(r *request) {
 	if r.mayRunAt == r.sentAt {
-		r.mayRunAt, r.runAt = never, nil
+		r.mayRunAt = never
 	}
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,14 +79,14 @@
 	return t.engine.Name
 }
 
+// neverRan tells whether an attempt is known not to have run at its engine.
+func (t *attempt) neverRan() bool {
+	return t.over && (t.outcome == decide.OutcomeFull || t.outcome == decide.OutcomeConnectFailed || t.outcome == decide.OutcomeNotSent)
+}
+
 // mayHaveRun tells whether any attempt of a request may have run at its engine.
 func (r *request) mayHaveRun() bool {
-	for _, t := range r.attempts {
-		if !t.over || t.outcome != decide.OutcomeFull && t.outcome != decide.OutcomeConnectFailed && t.outcome != decide.OutcomeNotSent {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(t *attempt) bool { return !t.neverRan() })
 }
 
 // engine is a member of the list and the way to it.
@@ -248,7 +249,9 @@
 }
 
 // now is the module's clock: Unix milliseconds, as engines' starts are told in.
-func now() decide.Millis { return float64(time.Now().UnixMicro()) / 1000 }
+func now() decide.Millis { return millis(time.Now()) }
+
+func millis(t time.Time) decide.Millis { return float64(t.UnixMicro()) / 1000 }
 
 func ms(m decide.Millis) time.Duration { return time.Duration(m * float64(time.Millisecond)) }
 
@@ -288,7 +291,7 @@
 	// The module answers in time; this guards the one-answer rule should it ever not.
 	r.guard = time.AfterFunc(max(left, 0)+guardAfter, func() { c.post(func() { c.expired(r) }) })
 	c.handle(decide.Arrived{ID: t.id, Class: q.Class, Group: Group(string(q.Statement)),
-		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB, Retry: q.Repeat})
+		Left: float64(left.Microseconds()) / 1000, Cost: q.Work, MemoryMB: q.MemoryMB, Retry: q.Repeat, Ran: c.joins.before(r, now())})
 }
 
 // tired ends one whose time is up before the end that it waits for. It was never sent itself, and another try
@@ -298,17 +301,19 @@
 		return
 	}
 	a := Answer{Kind: Failed, Why: "still running under its key"}
-	if c.harmless(r.query.Class) {
+	if c.harmless(r) {
 		a.Kind, a.ComeBack = Refused, ms(c.set.MaxComeBack)
 	}
 	c.answer(r, a)
 	c.unfollow(r)
 }
 
-// harmless tells whether a client may try again whatever ran: the class is safe, or any engine drops a repeat.
-func (c *Core) harmless(class int) bool {
-	k := c.set.Classes[class]
-	return k.Repeat == decide.RepeatSafe || k.Repeat == decide.RepeatKeyed && k.Scope == decide.ScopeAll
+// harmless tells whether a client may try again whatever ran: the class is safe, or any engine drops a repeat yet.
+func (c *Core) harmless(r *request) bool {
+	k := c.set.Classes[r.query.Class]
+	ran := c.joins.before(r, now())
+	return k.Repeat == decide.RepeatSafe ||
+		k.Repeat == decide.RepeatKeyed && k.Scope == decide.ScopeAll && (ran == nil || now() < ran.At+k.RepeatWindow)
 }
 
 // HandBack answers what is open, for a process that is about to be killed: what may be
@@ -322,7 +327,7 @@
 				continue
 			}
 			a := Answer{Kind: Refused, ComeBack: comeBack, Why: "handed back: this process ends"}
-			if !c.harmless(r.query.Class) && r.mayHaveRun() {
+			if !c.harmless(r) && (r.mayHaveRun() || c.joins.before(r, now()) != nil) {
 				a = Answer{Kind: Failed, Why: "this process ends, and the load may have run"}
 			}
 			c.Counts.handedBack.Add(1)
@@ -477,6 +482,9 @@
 	r.running++
 	c.Counts.sent(r.query.Class)
 	c.log.Debug("sent", "call", r.query.Call, "class", r.query.Class, "attempt", n, "engine", t.name(), "timeout_ms", timeout.Milliseconds())
+	if e != nil && c.set.Classes[r.query.Class].Repeat == decide.RepeatKeyed {
+		c.joins.sent(r, decide.EarlierRun{At: millis(t.at), Zone: e.Zone, Cell: e.Cell}, c.repeatsUntil(r.query.Class, millis(t.at)))
+	}
 	if e == nil || r.front == nil {
 		// Not by post: the core's goroutine must never wait for its own inbox.
 		c.after = append(c.after, func() { c.ended(r, n, a.Engine, Result{Outcome: decide.OutcomeNotSent}) })
@@ -506,6 +514,13 @@
 	}()
 }
 
+// repeatsUntil is until when a client may try again under the key of an attempt that began then: while engines
+// drop its repeat, and for as long after that as any client waits for an answer.
+func (c *Core) repeatsUntil(class int, at decide.Millis) decide.Millis {
+	k := c.set.Classes[class]
+	return at + k.RepeatWindow + figureOver*k.Deadline
+}
+
 // lively tells the module that pages come: a large result takes long, and must not be
 // taken for an engine that is silent.
 type lively struct {
@@ -530,6 +545,9 @@
 	t.over, t.outcome = true, res.Outcome
 	t.cancel()
 	r.running--
+	if t.neverRan() {
+		c.joins.forget(r.under(), millis(t.at))
+	}
 	c.Counts.ended(r.query.Class, res.Outcome)
 	end := Answer{Kind: Failed}
 	if res.Outcome == decide.OutcomeServed {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -57,20 +58,28 @@
 // coreOf runs a core over one played engine, which is listed only by list; class 0 is safe to repeat, class 1 is
 // keyed with the given window, in milliseconds.
 func coreOf(t *testing.T, mayCancel bool, window decide.Millis) (c *Core, p *played, list func()) {
-	set := decide.Settings{Gateways: 1, Tick: 5, MaxAttempts: 3, MayCancel: mayCancel, MaxComeBack: 100, Kinds: []decide.Kind{{Cores: 16}},
+	c, p = coreWith(t, setOf(mayCancel, window))
+	return c, p, func() {
+		c.List(decide.ListFull, []Member{{Name: "a", Addr: "127.0.0.1:1", EngineEntry: decide.EngineEntry{ID: 1, State: decide.EngineReady}}})
+	}
+}
+
+func setOf(mayCancel bool, window decide.Millis) decide.Settings {
+	return decide.Settings{Gateways: 1, Tick: 5, MaxAttempts: 3, MayCancel: mayCancel, MaxComeBack: 100, Kinds: []decide.Kind{{Cores: 16}},
 		KindNames: []string{"std"}, Zones: []string{"a"},
 		Classes: []decide.Class{{Name: "look", Aim: 8000, Deadline: 10000, Threads: 1, Worth: 1},
 			{Name: "load", Aim: 8000, Deadline: 10000, Threads: 1, Worth: 1, Repeat: decide.RepeatKeyed, RepeatWindow: window}}}
-	p = &played{runs: make(chan *run, 8)}
+}
+
+func coreWith(t *testing.T, set decide.Settings) (*Core, *played) {
+	p := &played{runs: make(chan *run, 8)}
 	c, err := NewCore(set, 1, p, slog.New(slog.DiscardHandler), 1<<20)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	over := make(chan struct{})
 	go func() { defer close(over); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-over })
-	return c, p, func() {
-		c.List(decide.ListFull, []Member{{Name: "a", Addr: "127.0.0.1:1", EngineEntry: decide.EngineEntry{ID: 1, State: decide.EngineReady}}})
-	}
+	return c, p
 }
 
 // settled waits until the core has handled all that was posted before.
@@ -80,6 +89,21 @@
 	receive(t, done)
 }
 
+// attempts counts those of a call that is open; below 0: it is not.
+func attempts(t *testing.T, c *Core, call string) int {
+	n := make(chan int, 1)
+	c.post(func() {
+		for _, r := range c.requests {
+			if r.query.Call == call {
+				n <- len(r.attempts)
+				return
+			}
+		}
+		n <- -1
+	})
+	return receive(t, n)
+}
+
 func ask(c *Core, call string, class int, key string) (*asker, Ticket) {
 	a := &asker{make(chan Answer, 2)}
 	return a, c.Submit(Query{Call: call, Class: class, Statement: []byte("x"), Deadline: time.Now().Add(patience), Key: key}, a)
@@ -185,7 +209,7 @@
 	select {
 	case second = <-p.runs:
 	case a := <-asked.answers: // a machine that stood still: the window had passed before the decision
-		require.Equal(t, Refused, a.Kind)
+		require.Equal(t, Failed, a.Kind)
 		return
 	}
 	require.Equal(t, "one", second.Call)
@@ -194,9 +218,89 @@
 	}
 	require.False(t, second.Ready())
 	second.end(decide.OutcomeNotSent)
-	require.Equal(t, Refused, receive(t, asked.answers).Kind, "answered at once")
+	require.Equal(t, Failed, receive(t, asked.answers).Kind, "answered at once; to try again is not harmless any more")
+	settled(t, c)
+	require.Empty(t, p.runs)
+}
+
+// What ran under a key and ended unserved was forgotten with its request: who waited for it, and who came again, was sent
+// as if nothing had run, also once no engine would drop it any more, and where none would.
+func TestARepeatIsNotSentPastTheWindowOfWhatRanUnderItsKey(t *testing.T) {
+	const window = 300 * time.Millisecond
+	c, p, list := coreOf(t, true, float64(window.Milliseconds()))
+	list()
+	first, _ := ask(c, "one", 1, "k")
+	r := p.next(t)
+	behind, _ := ask(c, "two", 1, "k")
+	settled(t, c)
+	for began := time.Now(); time.Since(began) < window; { // the engine is at it
+		time.Sleep(time.Millisecond)
+	}
+	r.end(decide.OutcomeError)
+	require.Equal(t, Failed, receive(t, first.answers).Kind)
+	require.Equal(t, Failed, receive(t, behind.answers).Kind, "it waited")
+	late, _ := ask(c, "three", 1, "k")
+	require.Equal(t, Failed, receive(t, late.answers).Kind, "it came later")
 	settled(t, c)
 	require.Empty(t, p.runs)
+	other, _ := ask(c, "four", 1, "another")
+	p.next(t).end(decide.OutcomeServed)
+	require.Equal(t, Served, receive(t, other.answers).Kind, "a key is its own")
+}
+
+// The same where only the engines of a zone drop repeats: another zone's would run it again.
+func TestARepeatGoesWhereWhatRanUnderItsKeyIsKnown(t *testing.T) {
+	set := setOf(true, 60000)
+	set.Zones, set.Classes[1].Scope = []string{"a", "b"}, decide.ScopeZone
+	c, p := coreWith(t, set)
+	state := func(a, b decide.EngineState) {
+		c.List(decide.ListFull, []Member{{Name: "a", Addr: "127.0.0.1:1", EngineEntry: decide.EngineEntry{ID: 1, Zone: 0, State: a}},
+			{Name: "b", Addr: "127.0.0.1:2", EngineEntry: decide.EngineEntry{ID: 2, Zone: 1, State: b}}})
+	}
+	state(decide.EngineReady, decide.EngineDraining)
+	_, one := ask(c, "one", 1, "k")
+	r := p.next(t)
+	c.Gone(one)
+	r.end(decide.OutcomeCancelled)
+	require.Eventually(t, func() bool { return attempts(t, c, "one") < 0 }, patience, time.Millisecond, "its end is booked")
+	state(decide.EngineDraining, decide.EngineReady)
+	again, _ := ask(c, "two", 1, "k")
+	_, _ = ask(c, "three", 1, "new")
+	require.Equal(t, 1, attempts(t, c, "three"))
+	require.Zero(t, attempts(t, c, "two"), "the repeat waits for its zone")
+	require.Equal(t, "three", p.next(t).Call)
+	state(decide.EngineReady, decide.EngineReady)
+	r = p.next(t)
+	require.Equal(t, "two", r.Call)
+	r.end(decide.OutcomeServed)
+	require.Equal(t, Served, receive(t, again.answers).Kind)
+}
+
+// What is known never to have run binds nobody, and keys of long ago are forgotten.
+func TestWhatNeverRanUnderAKeyBindsNobody(t *testing.T) {
+	j := newJoins()
+	of := func(key string) *request { return &request{query: Query{Class: 1, Key: key}} }
+	j.sent(of("k"), decide.EarlierRun{At: 10}, 20)
+	j.sent(of("k"), decide.EarlierRun{At: 15}, 25)
+	require.Equal(t, 10.0, j.before(of("k"), 19).At, "the first counts")
+	require.Nil(t, j.before(of("k"), 20))
+	require.Nil(t, j.before(&request{query: Query{Class: 2, Key: "k"}}, 19), "another class's key")
+	j.forget(of("k").under(), 15)
+	require.NotNil(t, j.before(of("k"), 19))
+	j.forget(of("k").under(), 10)
+	require.Nil(t, j.before(of("k"), 19))
+	j.sent(of(""), decide.EarlierRun{At: 10}, 20)
+	require.Empty(t, j.ran)
+	for i := range 3 * mostRan {
+		j.sent(of(fmt.Sprint(i)), decide.EarlierRun{At: 30}, 1e9+float64(i))
+		require.LessOrEqual(t, len(j.ran), mostRan)
+	}
+	require.NotNil(t, j.before(of(fmt.Sprint(3*mostRan-1)), 31), "the latest stay")
+	j.sent(of("last"), decide.EarlierRun{At: 2e9}, 3e9)
+	require.Len(t, j.ran, 1, "the rest is of no more use")
+	require.Len(t, j.since, 1)
+	j.sent(of("last"), decide.EarlierRun{At: 3e9}, 4e9)
+	require.Equal(t, 3e9, j.before(of("last"), 3e9).At, "a key of long ago is as good as new")
 }
 
 // Whether another attempt may be out beside one is the settings' word, and their silence is a no.
