Second front: nothing begins for a client that has left, with a key or behind its own requests

Ruled out on the first front: it reads on while requests are open.

Change: gone asks for the peer's shutdown (POLLRDHUP), whatever waits before it; a statement of one that has left is not taken; Core.Left lets what runs go on and begins nothing: not from the queue, after a dial, as a further attempt, nor when its turn under a key comes. What was not sent is refused, which frees its key, so who comes again begins anew. A final answer marks its request as one for which nothing begins.

Also: the backlog. A front told to stop while it waited for room let the time for its backlog pass there and then reset who stood in it (Listener.Run); the time begins anew once room has come.

Tests seen to fail with each part out: TestAStatementWhoseClientLeftIsNotSent (three parts), TestNothingBeginsForAClientThatMayComeAgain (two), TestNothingBeginsForWhatWasHandedBack, TestTheBacklogIsTakenThoughRoomComesLate (20 times under -race).

--- a/cmd/aniseloft/crossings_test.go
+++ b/cmd/aniseloft/crossings_test.go
@@ -47,27 +47,34 @@
 	})
 }
 
-// A client of the second front that closed its connection before the first answer has no name for its query: it waited on,
-// and was sent. One with a key can come again, and its query goes on.
+// A client of the second front that closed its connection before the first answer was sent on: one without a key has no
+// name for its query, one with a key can come again, and then begins anew. Nor does anything begin that it had sent behind,
+// of which much lies unread.
 func TestAStatementWhoseClientLeftIsNotSent(t *testing.T) {
 	t.Parallel()
 	e, j := newEngine(t, false), newJournal(t)
 	j.add(true) // no engine yet: what comes waits
 	p := run(t, testdir.Dir(t), j, true)
-	leave := func(statement, more string) {
-		c := dial(t, p.rest)
-		fmt.Fprintf(c, "POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: kiosk\r\nX-Trino-Source: trip-lookup\r\nX-Aniseloft-Work-Ms: 500\r\n%sContent-Length: %d\r\n\r\n%s",
+	post := func(statement, more string) string {
+		return fmt.Sprintf("POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: kiosk\r\nX-Trino-Source: trip-lookup\r\nX-Aniseloft-Work-Ms: 500\r\n%sContent-Length: %d\r\n\r\n%s",
 			more, len(statement), statement)
+	}
+	leave := func(taken, text, counters string) {
+		c := dial(t, p.rest)
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+		p.counted("class=trip-lookup taken=" + taken)
 		c.Close()
+		p.counted("class=trip-lookup taken=" + taken + " sent=0 " + counters)
 	}
-	leave("left", "")
-	p.counted("class=trip-lookup taken=1 sent=0 gone=1")
-	leave("kept", "Idempotency-Key: k\r\n")
-	p.counted("class=trip-lookup taken=2 sent=0 gone=1")
+	leave("1", post("left", ""), "gone=1")
+	leave("2", post("kept", "Idempotency-Key: k\r\n"), "gone=1 answered_served=0 answered_refused=1")
+	leave("3", post("before", "")+post("behind "+strings.Repeat("x", 8<<10), "")+post("last", "Idempotency-Key: l\r\n"), "gone=2 answered_served=0 answered_refused=1")
+	p.counted("client_connections addr=" + p.rest + " open=0")
 	j.add(false, server(1, e, "active"))
 	_, text := settle(t, p.post("trip-lookup", "k", "kept"))
 	require.Equal(t, "a\tb\tc\n", text)
-	require.Zero(t, e.count(&e.started, "left"))
+	p.counted("class=trip-lookup taken=4 sent=1")
 	require.Equal(t, 1, e.count(&e.started, "kept"))
 }
 
--- a/cmd/aniseloft/standin_test.go
+++ b/cmd/aniseloft/standin_test.go
@@ -506,7 +506,8 @@
 		require.NotContains(t, p.logged(), "DATA RACE")
 		require.NotContains(t, p.logged(), "panicked")
 		if t.Failed() {
-			t.Logf("log of the program:\n%s", p.logged())
+			log := p.logged()
+			t.Logf("the end of the program's log:\n%s", log[max(len(log)-4<<10, 0):])
 		}
 	})
 	// The clients' address may be another process's too: this one is asked at its own.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -228,6 +228,30 @@
 	})
 }
 
+// Left tells that the client of a query has left, and may come again for its end: what runs goes on, and nothing begins
+// from now on. Its front gets its answer all the same.
+func (c *Core) Left(t Ticket) {
+	t.gone.Store(true)
+	c.post(func() {
+		// Who waits behind another waits on: settle looks whether it has left.
+		if r := c.requests[t.id]; r != nil && r.front != nil && r.running == 0 {
+			c.answer(r, c.unserved(r, clientLeft))
+			c.handle(decide.ClientGone{ID: r.id})
+			c.forget(r)
+		}
+	})
+}
+
+const clientLeft = "its client has left"
+
+// unserved is the answer to what is given up now: refused where to try again is harmless or nothing ran.
+func (c *Core) unserved(r *request, why string) Answer {
+	if !c.harmless(r) && (r.mayHaveRun() || c.joins.before(r, now()) != nil) {
+		return Answer{Kind: Failed, Why: why + ", and it may have run"}
+	}
+	return Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: why}
+}
+
 // unfollow takes out one that no longer waits behind another. A run that goes on only for those
 // who wait is given up with the last of them.
 func (c *Core) unfollow(f *request) {
@@ -326,10 +350,8 @@
 			if r.front == nil && len(r.followers) == 0 {
 				continue
 			}
-			a := Answer{Kind: Refused, ComeBack: comeBack, Why: "handed back: this process ends"}
-			if !c.harmless(r) && (r.mayHaveRun() || c.joins.before(r, now()) != nil) {
-				a = Answer{Kind: Failed, Why: "this process ends, and the load may have run"}
-			}
+			a := c.unserved(r, "handed back: this process ends")
+			a.ComeBack = comeBack
 			c.Counts.handedBack.Add(1)
 			for _, w := range c.joins.end(r) { // never sent themselves
 				c.answer(w, a)
@@ -357,6 +379,7 @@
 		return
 	}
 	f := r.front
+	r.gone.Store(true) // what is being dialled does not begin any more
 	c.Counts.answered(r.query.Class, a.Kind)
 	c.log.Debug("answered", "call", r.query.Call, "class", r.query.Class, "kind", a.Kind.String(), "attempts", len(r.attempts), "why", a.Why)
 	c.close(r)
@@ -372,6 +395,10 @@
 			c.answer(w, a)
 			continue
 		}
+		if w.gone.Load() {
+			c.answer(w, c.unserved(w, clientLeft))
+			continue
+		}
 		front := w.front
 		w.guard.Stop()
 		c.after = append(c.after, func() { c.take(w.Ticket, w.query, front) })
@@ -553,6 +580,8 @@
 	if res.Outcome == decide.OutcomeServed {
 		end = Answer{Kind: Served, Body: res.Body, Streamed: res.Streamed}
 		c.answer(r, end)
+	} else if r.gone.Load() { // no further attempt
+		c.answer(r, c.unserved(r, clientLeft))
 	}
 	if r.front == nil {
 		c.settle(r, end)
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -127,6 +127,61 @@
 	}
 }
 
+// A client that has left and may come again by its key has its query's run to come to; but nothing begins for it, neither
+// from the queue, nor after a dial, nor once its attempt has ended unserved, nor when it is its turn under its key.
+func TestNothingBeginsForAClientThatMayComeAgain(t *testing.T) {
+	c, p, list := coreOf(t, true, 5000)
+	queued, ticket := ask(c, "queued", 1, "a")
+	behind, other := ask(c, "behind", 1, "a")
+	third, _ := ask(c, "third", 1, "a")
+	c.Left(other)
+	settled(t, c)
+	require.Empty(t, behind.answers, "it waits for who is before it")
+	c.Left(ticket)
+	require.Equal(t, Refused, receive(t, queued.answers).Kind)
+	require.Equal(t, Refused, receive(t, behind.answers).Kind)
+	list()
+	r := p.next(t)
+	require.Equal(t, "third", r.Call, "its turn")
+	r.end(decide.OutcomeServed)
+	require.Equal(t, Served, receive(t, third.answers).Kind)
+
+	for _, end := range []decide.Outcome{decide.OutcomeNotSent, decide.OutcomeLost, decide.OutcomeFull, decide.OutcomeServed} {
+		c, p, list := coreOf(t, true, 5000)
+		list()
+		asked, ticket := ask(c, "one", 0, "")
+		r := p.next(t)
+		require.True(t, r.Ready())
+		c.Left(ticket)
+		require.False(t, r.Ready())
+		settled(t, c)
+		require.NoError(t, r.ctx.Err(), "what runs goes on")
+		require.Empty(t, asked.answers)
+		r.end(end)
+		a := receive(t, asked.answers)
+		require.Equal(t, end == decide.OutcomeServed, a.Kind == Served)
+		require.NotEqual(t, Failed, a.Kind, "its class is safe")
+		settled(t, c)
+		require.Empty(t, p.runs)
+		require.Zero(t, c.Open())
+	}
+}
+
+// What is handed back, and its client told to go elsewhere, begins no more, where no attempt may be called off either.
+func TestNothingBeginsForWhatWasHandedBack(t *testing.T) {
+	c, p, list := coreOf(t, false, 5000)
+	list()
+	asked, _ := ask(c, "one", 0, "")
+	r := p.next(t)
+	require.True(t, r.Ready())
+	c.HandBack(time.Millisecond)
+	require.Equal(t, Refused, receive(t, asked.answers).Kind)
+	require.False(t, r.Ready())
+	r.end(decide.OutcomeNotSent)
+	settled(t, c)
+	require.Empty(t, p.runs)
+}
+
 // Who waited for a request under the same key took over its run with its call: a request whose client had left was sent.
 func TestWhoWaitsBehindAnUnsentRequestIsSentUnderItsOwnCall(t *testing.T) {
 	c, p, list := coreOf(t, true, 5000)
--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -374,6 +374,42 @@
 	require.Zero(t, front.Core.Open())
 }
 
+// A front that stops while it has no room took nobody from its backlog any more once room came: those connections had
+// stood, and were reset.
+func TestTheBacklogIsTakenThoughRoomComesLate(t *testing.T) {
+	front, p := frontOf(t, true)
+	l, err := Listen("127.0.0.1:0", 1, slog.New(slog.DiscardHandler), front.Serve)
+	require.NoError(t, err)
+	dial := func(id int) net.Conn {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+		write(t, c, look(id))
+		return c
+	}
+	clients := []net.Conn{dial(1), dial(2), dial(3)}
+	go l.Run()
+	end := receive(t, p.runs)
+	l.StopAccepting()
+	for began := time.Now(); time.Since(began) < 2*sweep; { // the time for the backlog is up, and the first is still at it
+		time.Sleep(time.Millisecond)
+	}
+	closed := make(chan struct{})
+	go func() { defer close(closed); l.Close(time.Now().Add(patience)) }()
+	for i, c := range clients {
+		end <- served
+		line, err := bufio.NewReader(c).ReadString('\n')
+		require.NoError(t, err, i)
+		require.Contains(t, line, `"result"`)
+		require.NoError(t, c.Close())
+		if i+1 < len(clients) {
+			end = receive(t, p.runs)
+		}
+	}
+	receive(t, closed)
+}
+
 // pagedEngine is a stand-in over a loopback socket for an engine of the platform's protocol; what it does with each call
 // is the test's, under its path, or "POST".
 func pagedEngine(t *testing.T, handle func(what string, w http.ResponseWriter, r *http.Request)) *paged {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -228,10 +228,22 @@
 	return at, c.open == 0 && c.waiting == 0 && !c.closing
 }
 
-// gone tells whether the client has closed its side, with nothing unread before that.
+// gone tells whether the client has closed its side, whatever waits unread before that.
 func (c *ClientConn) gone() bool {
-	n, err := peek(c.Conn)
-	return n == 0 && !errors.Is(err, syscall.EAGAIN)
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	look := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err = raw.Control(func(fd uintptr) {
+		look[0].Fd = int32(fd)
+		_, _ = unix.Poll(look, 0)
+	})
+	return err != nil || look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // unread tells whether bytes wait on a connection that nobody has read.
@@ -337,10 +349,15 @@
 			time.Sleep(roomEach) // out of descriptors: let some come free
 			continue
 		}
+		waited := false
 		for !l.room() {
+			waited = true
 			time.Sleep(roomEach)
 		}
 		l.start(c)
+		if waited && l.stopping.Load() { // what came meanwhile is in the backlog yet
+			l.StopAccepting()
+		}
 	}
 }
 
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -66,6 +66,7 @@
 	front     *RestClients
 	id        string
 	safe      bool          // its class may be repeated
+	keyed     bool          // its client can come again for it, by its key
 	spool     *spool.Writer // nil: the record holds its pages
 	mu        sync.Mutex
 	ticket    *routing.Ticket // nil until the core has it
@@ -94,6 +95,24 @@
 	q.end(store.Cancelled, nil, 0)
 }
 
+// left is for a client that has left without a word. Without a key nobody can ever ask for the query; with one its
+// client may come again: what runs goes on, and what was not sent is refused, which frees the key.
+func (q *restQuery) left() {
+	if !q.keyed {
+		q.cancel()
+		return
+	}
+	q.mu.Lock()
+	ticket := q.ticket
+	q.cancelled = q.cancelled || ticket == nil
+	q.mu.Unlock()
+	if ticket != nil {
+		q.front.Core.Left(*ticket)
+	} else {
+		q.end(store.Refused, nil, q.front.back())
+	}
+}
+
 // Live is the number of queries whose end is not yet in the record.
 func (f *RestClients) Live() int {
 	f.mu.Lock()
@@ -178,6 +197,9 @@
 		msgs, err := m.Feed(b)
 		c.said(len(msgs) > 0, m.Held() > 0)
 		for _, msg := range msgs {
+			if _, starts := msg.(rest.Statement); starts && c.gone() {
+				return // it has left while what it sent before was answered
+			}
 			if !c.begin() { // its client sees the close cross it
 				return
 			}
@@ -246,7 +268,7 @@
 	digest := sha256.Sum256(append([]byte(m.Class+"\x00"), m.Body...))
 	row := store.Query{ID: token(), Slug: token(), Key: m.Key, Digest: hex.EncodeToString(digest[:]), Class: m.Class,
 		Owner: m.User, Node: f.Node, Expiry: deadline.Add(f.Keep)}
-	q := &restQuery{front: f, id: row.ID, safe: class.Repeat == decide.RepeatSafe, ended: make(chan struct{})}
+	q := &restQuery{front: f, id: row.ID, safe: class.Repeat == decide.RepeatSafe, keyed: m.Key != "", ended: make(chan struct{})}
 	f.mu.Lock()
 	f.live[q.id] = q // before the row, so that who finds the row finds this
 	f.mu.Unlock()
@@ -278,9 +300,7 @@
 	if q.spool != nil {
 		to.Sink = q
 	}
-	if m.Key == "" {
-		defer q.watch(c)()
-	}
+	defer q.watch(c)()
 	q.submit(to)
 	row.State = store.Running
 	return f.await(ctx, &row, m.Host, 0, true)
@@ -290,8 +310,7 @@
 // may begin for a client that left over 100 ms ago.
 const goneLook = 25 * time.Millisecond
 
-// watch withdraws a query whose client leaves before its first answer, until the returned func is
-// called: without a key nobody else can ever ask for the query.
+// watch looks whether a query's client leaves before its first answer, until the returned func is called.
 func (q *restQuery) watch(c *ClientConn) (stop func()) {
 	over := make(chan struct{})
 	go func() {
@@ -303,7 +322,7 @@
 				return
 			case <-t.C:
 				if c.gone() {
-					q.cancel()
+					q.left()
 					return
 				}
 			}
