An attempt at a REST engine that named no address counts as out for the time it was given

Seen, by reading restEngine.Run (an open row of docs/crossings.md): where the settings allow no second copy and the engine's first answer was lost, the attempt's end was told at once, while the engine could still run it: nothing withdraws a query without an address. Now its end is told once the time that the engine was told (query_max_run_time) is up, or its process refuses connections.

Tests: TestAnAttemptWithoutAnAddressIsAloneForTheTimeItWasGiven, seen to fail without it.

--- a/cmd/aniseloft/crossings_test.go
+++ b/cmd/aniseloft/crossings_test.go
@@ -231,17 +231,17 @@
 	require.Len(t, idle, 2*limit, "they were held to the end")
 }
 
-// Thirty processes that start together, with discovery up, down and silent: nine in ten are ready within 10 s, and each
-// then answers its clients.
+// Thirty processes that start together, with discovery up, down, down for 8 s and silent: nine in ten are ready within
+// 10 s, and each then answers its clients; where discovery comes back, each hears what has changed meanwhile.
 func TestThirtyRestartedProcessesAreReadyAgain(t *testing.T) {
-	const processes, mostLate, within = 30, 3, 10 * time.Second
-	for _, discovery := range []string{"up", "down", "silent"} {
-		e, j := newEngine(t, false), newJournal(t)
+	const processes, mostLate, within, away = 30, 3, 10 * time.Second, 8 * time.Second
+	for _, discovery := range []string{"up", "down", "down for a while", "silent"} {
+		e, fresh, j := newEngine(t, false), newEngine(t, false), newJournal(t)
+		service, back := &restarted{j, j.Listener.Addr().String()}, discovery == "down for a while"
 		j.add(true, server(1, e, "active"))
 		switch discovery {
 		case "down":
-			j.CloseClientConnections()
-			j.Listener.Close()
+			service.down()
 		case "silent":
 			j.silence()
 		}
@@ -258,10 +258,14 @@
 		for _, p := range all {
 			p.kill()
 		}
+		if back {
+			service.down()
+			j.add(false, server(1, e, "leaving"), server(2, fresh, "active"))
+		}
 		var mu sync.Mutex
 		var group sync.WaitGroup
 		late, began := 0, time.Now()
-		for _, p := range all {
+		for i, p := range all {
 			group.Go(func() {
 				c := again(p)
 				c.Stdout, c.Stderr = p, p
@@ -281,8 +285,20 @@
 				if line := k.call(query(2, "trip-lookup", "x", 9000)); !strings.Contains(line, `"result"`) {
 					t.Errorf("discovery %s: %s", discovery, line)
 				}
+				after := fmt.Sprint("after ", i)
+				for n := 3; back && fresh.count(&fresh.started, after) == 0; n++ {
+					if time.Since(began) > away+patience {
+						t.Errorf("the news of discovery's return is not heard")
+						return
+					}
+					k.call(query(n, "trip-lookup", after, 9000))
+				}
 			})
 		}
+		if back {
+			time.Sleep(time.Until(began.Add(away)))
+			service.up(t)
+		}
 		group.Wait()
 		require.LessOrEqual(t, late, mostLate, "discovery %s", discovery)
 		t.Logf("discovery %s: %d of %d late, all answered after %v", discovery, late, processes, time.Since(began).Round(time.Millisecond))
--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -546,6 +546,32 @@
 	require.Less(t, time.Since(began), 2*time.Second)
 }
 
+// An engine of the second protocol whose first answer never came has named no address to withdraw a query at: where no
+// other attempt may be out beside it, the next one began while it could still run there.
+func TestAnAttemptWithoutAnAddressIsAloneForTheTimeItWasGiven(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		p := pagedEngine(t, func(what string, w http.ResponseWriter, r *http.Request) {
+			if what == "POST" { // it has begun, and its answer is lost
+				c, _, err := w.(http.Hijacker).Hijack()
+				require.NoError(t, err)
+				_ = c.Close()
+			}
+		})
+		e := &restEngine{paged: p, user: "n0"}
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		if alone {
+			ctx, cancel = context.WithTimeout(t.Context(), 300*time.Millisecond)
+		}
+		a := attempt("1")
+		a.Alone, a.Timeout = alone, time.Second
+		out := e.Run(ctx, a)
+		require.Contains(t, []decide.Outcome{decide.OutcomeLost, decide.OutcomeTimeout}, out.Outcome, out.Why)
+		by, _ := ctx.Deadline()
+		require.Equal(t, alone, !time.Now().Before(by), "alone: its end is told no sooner than its time is up; else at once")
+		cancel()
+	}
+}
+
 // listService is a journal service over raw sockets: each connection is played by the next of the scripts, the last one by
 // all that come after. A script gets the connection once a call of it is read, with the position that it asks from.
 func listService(t *testing.T, scripts ...func(c net.Conn, tail int)) string {
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"aniseloft/decide"
@@ -58,9 +59,12 @@
 		return routing.Result{Outcome: outcome, Body: res.Body, Streamed: a.Sink != nil, Work: res.Work, MemoryMB: res.MemoryMB, Why: res.Why}
 	}
 	giveUp := func() {
-		if b := q.Cancel(); b != nil { // else the engine has named no address to withdraw it at
-			deadline, _ := ctx.Deadline()
+		deadline, _ := ctx.Deadline()
+		if b := q.Cancel(); b != nil {
 			_ = e.withdraw(b, a.Alone, deadline)
+		} else if a.Alone && !errors.Is(err, syscall.ECONNREFUSED) {
+			// The engine has named no address to withdraw it at: it may be at it for the time that it was told.
+			time.Sleep(time.Until(deadline))
 		}
 	}
 	switch {
