Bans told to two processes while a third holds the state file's lock are both kept

Seen, by reading change (an open row of docs/crossings.md): a process that can't have the lock in 100 ms writes the file without it, as the call must be answered; another that had read the file before then writes over it, and one ban is gone with the next upgrade. Now a change made without the lock is owed: once the lock is free (looked for each 100 ms) the file is taken as it stands and the change made again over it (oncall.Rejoin), later than all that was written. Until then nothing is adopted that could lack it.

Tests: TestABanThatAnotherProcessWroteOverIsMadeAgain plays the other process (fails without the debt); TestChangesOfTwoProcessesRejoin tries each order (fails without the change or the higher number).

--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -106,7 +106,7 @@
 	require.Equal(t, "ACK s-00000001 back, cold", p.tell("RESTORE s-00000001"))
 	require.Equal(t, "ACK s-00000001 was not out", p.tell("RESTORE s-00000001"))
 	// Back and cold, it gets its part again soon after: one call back answers both calls out.
-	deadline := time.Now().Add(5 * time.Second)
+	deadline := time.Now().Add(patience)
 	for id := 41; a.count(&a.started, "x") == 0; id++ {
 		require.True(t, time.Now().Before(deadline), "the engine let back stays unused")
 		spread(t, c, id, 1)
@@ -232,7 +232,7 @@
 	require.Equal(t, "ACK s-00000002 out", old.tell("SUSPEND s-00000002"))
 	require.NoError(t, old.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, old.Wait())
-	time.Sleep(200 * time.Millisecond)
+	fresh.counted("out=s-00000001:1,s-00000002:1")
 	c := dial(t, fresh.listen)
 	answer := c.call(query(1, "trip-lookup", "x", 1500))
 	require.Contains(t, answer, `"code":-32000`, "both engines are out by hand")
--- a/cmd/aniseloft/crossings_test.go
+++ b/cmd/aniseloft/crossings_test.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 	_ "modernc.org/sqlite" // the record that a test holds
 
+	"aniseloft/internal/oncall"
 	"aniseloft/internal/testdir"
 )
 
@@ -341,3 +342,28 @@
 	require.Contains(t, dial(t, p.listen).call(query(1, "trip-lookup", "x", 300)), `"error"`)
 	require.Zero(t, e.count(&e.started, "x"))
 }
+
+// Two processes of an upgrade are told a ban each in one instant, while a third holds the state file's lock: who wrote the file
+// last wrote over what it had not read, and the other's ban was lost with the next upgrade. The test is the other process.
+func TestABanThatAnotherProcessWroteOverIsMadeAgain(t *testing.T) {
+	t.Parallel()
+	p, _, _, _ := two(t)
+	state := filepath.Join(p.dir, "tmp", "aniseloft-state.json")
+	fd, err := syscall.Open(state+".lock", syscall.O_CREAT|syscall.O_RDWR, 0o600)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB))
+	require.Equal(t, "ACK s-00000001 out", p.tell("SUSPEND s-00000001"))
+	other := oncall.NewOverrides()
+	other.Listed("s-00000002", true)
+	_, err = other.Suspend("s-00000002", 1)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(state+".other", other.Encode(2), 0o600))
+	require.NoError(t, os.Rename(state+".other", state))
+	require.NoError(t, syscall.Close(fd)) // the lock is free
+	p.counted("out=s-00000001:1,s-00000002:1")
+	eventually(t, func() bool {
+		text, err := os.ReadFile(state)
+		return err == nil && strings.Contains(string(text), "s-00000001") && strings.Contains(string(text), "s-00000002")
+	})
+	require.Contains(t, dial(t, p.listen).call(query(1, "trip-lookup", "x", 1500)), `"error"`, "both are out")
+}
--- a/internal/oncall/oncall_test.go
+++ b/internal/oncall/oncall_test.go
@@ -80,6 +80,45 @@
 	require.True(t, fresh.Out("s-2"))
 }
 
+// Two processes change what is out while neither has the file; whichever wrote it last, both changes are there once each has
+// made its own again over it.
+func TestChangesOfTwoProcessesRejoin(t *testing.T) {
+	for _, last := range []int{0, 1} {
+		for _, first := range []int{0, 1} {
+			both := [2]*Overrides{NewOverrides(), NewOverrides()}
+			var owed [2][]Change
+			for i, h := range both {
+				for _, id := range []string{"s-1", "s-2", "s-3"} {
+					h.Listed(id, true)
+				}
+				for range 1 + 3*(1-i) { // known to both, and one has changed more
+					_, _ = h.Suspend("s-3", 1)
+				}
+				id := []string{"s-1", "s-2"}[i]
+				_, _ = h.Suspend(id, 2)
+				owed[i] = []Change{{ID: id}}
+			}
+			_, _ = both[0].Restore("s-3", 3)
+			owed[0] = append(owed[0], Change{ID: "s-3", Back: true})
+			file := both[last].Encode(4)
+			for _, i := range []int{first, 1 - first} {
+				s, err := Decode(file)
+				require.NoError(t, err)
+				if was := both[i].Seq(); both[i].Rejoin(s, owed[i], 5) {
+					require.Greater(t, both[i].Seq(), max(was, s.Seq), "it is later than all that was written before")
+					file = both[i].Encode(5)
+				}
+			}
+			s, err := Decode(file)
+			require.NoError(t, err)
+			both[first].Adopt(s)
+			for _, h := range both {
+				require.True(t, h.Out("s-1") && h.Out("s-2") && !h.Out("s-3"), "last %d, first %d: %v", last, first, h.Bans())
+			}
+		}
+	}
+}
+
 func TestBadStateFilesAreTold(t *testing.T) {
 	for text, want := range map[string]error{
 		`{"version":1,"seq":3,"bans":[{"id":"s-1","ca`: ErrCorrupt,
--- a/internal/oncall/state.go
+++ b/internal/oncall/state.go
@@ -72,6 +72,11 @@
 	if s.Seq <= h.seq {
 		return false
 	}
+	h.take(s)
+	return true
+}
+
+func (h *Overrides) take(s State) {
 	h.seq = s.Seq
 	clear(h.bans)
 	for _, b := range s.Bans {
@@ -81,5 +86,31 @@
 	for _, b := range s.Back {
 		h.back[b.ID] = b
 	}
-	return true
+}
+
+// Change is one that was made by hand: an engine out, or back.
+type Change struct {
+	ID   string
+	Back bool
+}
+
+// Rejoin takes what the file holds, whichever process wrote it last, and makes those changes over it that this
+// process made while another one held the file: neither's are lost then. It tells whether the file lacks anything.
+func (h *Overrides) Rejoin(s State, owed []Change, now decide.Millis) (lacks bool) {
+	was := h.seq
+	h.take(s)
+	for _, c := range owed {
+		switch {
+		case c.Back && h.Out(c.ID):
+			_, _ = h.Restore(c.ID, now) // out, so known
+			lacks = true
+		case !c.Back && !h.Out(c.ID):
+			_, err := h.Suspend(c.ID, now)
+			lacks = lacks || err == nil // else nobody has that engine any more
+		}
+	}
+	if h.seq = max(h.seq, was); lacks {
+		h.seq = max(h.seq, was+1)
+	}
+	return lacks
 }
--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -36,6 +36,7 @@
 	mu   sync.Mutex // one change at a time within the process
 	seen time.Time  // the file's time of change when it was last read
 	size int64
+	owed []oncall.Change // made while another process held the lock: the file may lack them
 }
 
 func newStateFile() *stateFile {
@@ -87,13 +88,14 @@
 
 // change carries out a change of what is out by hand, in step with the other process:
 // under the file's lock it takes what that one wrote, makes the change and writes the
-// whole state anew, all or nothing.
-func (p *Program) change(f *stateFile, do func() error) error {
+// whole state anew, all or nothing. Where the lock can't be had it does so all the same, as
+// the answer must not wait, and makes the change again over what the file holds later on.
+func (p *Program) change(f *stateFile, c oncall.Change, do func() error) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	unlock := lockFile(f.path + ".lock")
+	unlock, had := lockFile(f.path+".lock", lockTries)
 	defer unlock()
-	p.readState(f, false)
+	p.follow(f, had)
 	var was uint64
 	var out []byte
 	p.core.Overrides(func(h *oncall.Overrides) bool { was = h.Seq(); return false })
@@ -109,13 +111,52 @@
 	if out == nil {
 		return nil
 	}
+	if !had {
+		f.owed = append(f.owed, c)
+	}
+	p.writeState(f, out)
+	return nil
+}
+
+func (p *Program) writeState(f *stateFile, out []byte) {
 	if err := writeAtomic(f.path, out); err != nil {
 		// The ban holds in this process all the same; only an upgrade would lose it.
 		p.log.Error("state file not written", "path", f.path, "err", err)
 	} else if info, err := os.Stat(f.path); err == nil {
 		f.seen, f.size = info.ModTime(), info.Size()
 	}
-	return nil
+}
+
+// follow takes what the other process wrote. While this one owes changes to the file it takes nothing that
+// could lack them, and makes them again once it holds the lock.
+func (p *Program) follow(f *stateFile, locked bool) {
+	if len(f.owed) == 0 {
+		p.readState(f, false)
+		return
+	}
+	if !locked {
+		return
+	}
+	raw, err := os.ReadFile(f.path)
+	if err != nil {
+		return // with the next look
+	}
+	s, bad := oncall.Decode(raw)
+	if bad != nil {
+		p.readState(f, false) // reports it and sets it aside
+	}
+	var lacks bool
+	var out []byte
+	p.core.Overrides(func(h *oncall.Overrides) bool {
+		now := millis(time.Now())
+		lacks = bad != nil || h.Rejoin(s, f.owed, now)
+		out = h.Encode(now)
+		return true
+	})
+	if f.owed = nil; lacks {
+		p.log.Info("state file joined", "path", f.path)
+		p.writeState(f, out)
+	}
 }
 
 // writeAtomic writes a file whole or not at all: a process killed half way leaves the
@@ -133,24 +174,26 @@
 }
 
 // lockFile holds an advisory lock on path until the returned func; a lock that can't
-// be had soon is gone without: the answer must not wait on it.
-func lockFile(path string) (unlock func()) {
+// be had within some tries is gone without, and had is false: the answer must not wait on it.
+func lockFile(path string, tries int) (unlock func(), had bool) {
 	fd, err := syscall.Open(path, syscall.O_CREAT|syscall.O_RDWR|syscall.O_CLOEXEC, 0o600)
 	if err != nil {
-		return func() {}
+		return func() {}, false
 	}
-	for range lockTries {
+	for n := range tries {
+		if n > 0 {
+			time.Sleep(lockRest)
+		}
 		if err = syscall.Flock(fd, syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
 			break
 		}
-		time.Sleep(lockRest)
 	}
 	return func() {
 		if err == nil {
 			_ = syscall.Flock(fd, syscall.LOCK_UN)
 		}
 		_ = syscall.Close(fd)
-	}
+	}, err == nil
 }
 
 // drain is the drain by hand, where the fronts and the operators' calls reach it.
@@ -224,7 +267,7 @@
 		return admin.Nak(p.Phase().String())
 	case admin.Suspend:
 		var calls int
-		err := p.change(p.state, func() (err error) {
+		err := p.change(p.state, oncall.Change{ID: c.ID}, func() (err error) {
 			calls, err = p.core.Suspend(c.ID)
 			return err
 		})
@@ -237,7 +280,7 @@
 		return admin.Ack(c.ID + " out")
 	case admin.Restore:
 		var was bool
-		err := p.change(p.state, func() (err error) {
+		err := p.change(p.state, oncall.Change{ID: c.ID, Back: true}, func() (err error) {
 			was, err = p.core.Restore(c.ID)
 			return err
 		})
@@ -286,7 +329,13 @@
 			return
 		case <-t.C:
 			p.state.mu.Lock()
-			p.readState(p.state, false)
+			if len(p.state.owed) == 0 {
+				p.follow(p.state, false)
+			} else {
+				unlock, had := lockFile(p.state.path+".lock", 1)
+				p.follow(p.state, had)
+				unlock()
+			}
 			p.state.mu.Unlock()
 		}
 	}
