--- a/internal/transport/crossings_test.go
+++ b/internal/transport/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"database/sql"
 	"encoding/base64"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,6 +22,8 @@
 
 	"aniseloft/decide"
 	"aniseloft/internal/routing"
+	"aniseloft/internal/store"
+	"aniseloft/internal/testdir"
 )
 
 // patience bounds every wait for something that must come; no verdict hangs on how soon.
@@ -410,6 +414,55 @@
 	receive(t, closed)
 }
 
+// A client left while its statement was being recorded: the query was handed on all the same, and could be sent at once.
+func TestAStatementIsNotSentWhoseClientLeftWhileItWasRecorded(t *testing.T) {
+	for key, ends := range map[string]string{"": "cancelled", "Idempotency-Key: k\r\n": "refused"} {
+		meet := func() bool { // false: the record was held for longer than its front waits, which refuses unrecorded
+			front, p := frontOf(t, true)
+			path := filepath.Join(testdir.Dir(t), "record.db")
+			record, err := store.Open(t.Context(), path)
+			require.NoError(t, err)
+			defer func() { _ = record.Close() }()
+			rest := &RestClients{Core: front.Core, Store: record, Pass: front.Pass, In: front.In, Keep: time.Minute, Node: "n0", Log: front.Log}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			require.NoError(t, rest.Start(ctx))
+			l := listenerOf(t, 4, rest.Serve)
+			other, err := sql.Open("sqlite", "file:"+path+"?_pragma=busy_timeout(5000)")
+			require.NoError(t, err)
+			defer func() { _ = other.Close() }()
+			held, err := other.Conn(t.Context())
+			require.NoError(t, err)
+			_, err = held.ExecContext(t.Context(), "BEGIN IMMEDIATE")
+			require.NoError(t, err)
+			client, server := pair(t)
+			l.start(server)
+			write(t, client, "POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: kiosk\r\nX-Trino-Source: look\r\n"+key+"Content-Length: 1\r\n\r\nx")
+			require.Eventually(t, func() bool { return rest.Live() == 1 }, patience, 100*time.Microsecond, "its record is waited for")
+			require.NoError(t, client.Close())
+			require.Eventually(t, (&ClientConn{Conn: server}).gone, patience, 100*time.Microsecond)
+			_, err = held.ExecContext(t.Context(), "COMMIT")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return rest.Live() == 0 }, patience, time.Millisecond)
+			front.Core.Beliefs()
+			require.Empty(t, p.runs)
+			var state string
+			err = held.QueryRowContext(t.Context(), "SELECT state FROM query").Scan(&state)
+			if errors.Is(err, sql.ErrNoRows) {
+				return false
+			}
+			require.NoError(t, err)
+			require.Equal(t, ends, state)
+			return true
+		}
+		met := false
+		for n := 0; n < 20 && !met; n++ {
+			met = meet()
+		}
+		require.True(t, met)
+	}
+}
+
 // pagedEngine is a stand-in over a loopback socket for an engine of the platform's protocol; what it does with each call
 // is the test's, under its path, or "POST".
 func pagedEngine(t *testing.T, handle func(what string, w http.ResponseWriter, r *http.Request)) *paged {
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -301,6 +301,9 @@
 		to.Sink = q
 	}
 	defer q.watch(c)()
+	if c.gone() { // while it was recorded
+		q.left()
+	}
 	q.submit(to)
 	row.State = store.Running
 	return f.await(ctx, &row, m.Host, 0, true)
