One rule, in the module, for what a client may try again; the core asks it

Cause: the core (harmless) had written the module's rule of refusals (giveUp, mustNotRun) again, scope and window and all. Change: decide.Class.Harmless says it for both; unserved looks the key up once. No change of behaviour. Routing's tests fail with Harmless always true.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -289,11 +289,19 @@
 		c.Scope == ScopeCell && e.Cell == r.runAt.Cell
 }
 
-// mustNotRun tells whether the request may have run where no engine would drop a repeat any more.
+// barred tells whether what may have run then must not run again: no engine drops a repeat, or none any more.
+func (c Class) barred(ran, now Millis) bool {
+	return c.Repeat == RepeatOnce || c.Repeat == RepeatKeyed && now >= ran+c.RepeatWindow
+}
+
+// Harmless tells whether a client may try again what may have run then, wherever its next try goes.
+func (c Class) Harmless(ran, now Millis) bool {
+	return c.Repeat == RepeatSafe || c.Scope == ScopeAll && !c.barred(ran, now)
+}
+
+// mustNotRun tells whether the request may have run and must not run again.
 func (g *Gateway) mustNotRun(r *request) bool {
-	c := g.classes[r.Class]
-	late := c.Repeat == RepeatKeyed && g.now >= r.mayRunAt+c.RepeatWindow
-	return r.mayRunAt != never && (late || c.Repeat == RepeatOnce)
+	return r.mayRunAt != never && g.classes[r.Class].barred(r.mayRunAt, g.now)
 }
 
 // cold tells whether the engine may not yet do its full work.
@@ -658,7 +666,7 @@
 // giveUp answers at once: a refusal with a time to come back where that is safe, else a failure.
 func (g *Gateway) giveUp(r *request) {
 	c := g.classes[r.Class]
-	if r.mayRunAt == never || c.Repeat == RepeatSafe || c.Scope == ScopeAll && !g.mustNotRun(r) {
+	if r.mayRunAt == never || c.Harmless(r.mayRunAt, g.now) {
 		g.do(Refuse{r.ID, g.set.MaxComeBack})
 	} else {
 		g.do(Fail{r.ID})
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -246,7 +247,7 @@
 
 // unserved is the answer to what is given up now: refused where to try again is harmless or nothing ran.
 func (c *Core) unserved(r *request, why string) Answer {
-	if !c.harmless(r) && (r.mayHaveRun() || c.joins.before(r, now()) != nil) {
+	if harmless, ran := c.harmless(r); !harmless && (ran || r.mayHaveRun()) {
 		return Answer{Kind: Failed, Why: why + ", and it may have run"}
 	}
 	return Answer{Kind: Refused, ComeBack: ms(c.set.MaxComeBack), Why: why}
@@ -325,19 +326,22 @@
 		return
 	}
 	a := Answer{Kind: Failed, Why: "still running under its key"}
-	if c.harmless(r) {
+	if harmless, _ := c.harmless(r); harmless {
 		a.Kind, a.ComeBack = Refused, ms(c.set.MaxComeBack)
 	}
 	c.answer(r, a)
 	c.unfollow(r)
 }
 
-// harmless tells whether a client may try again whatever ran: the class is safe, or any engine drops a repeat yet.
-func (c *Core) harmless(r *request) bool {
-	k := c.set.Classes[r.query.Class]
-	ran := c.joins.before(r, now())
-	return k.Repeat == decide.RepeatSafe ||
-		k.Repeat == decide.RepeatKeyed && k.Scope == decide.ScopeAll && (ran == nil || now() < ran.At+k.RepeatWindow)
+// harmless tells whether a client may try again whatever ran; ran is whether anything may have run under its key.
+func (c *Core) harmless(r *request) (harmless, ran bool) {
+	at := math.Inf(1) // the window of its key has not begun
+	now := now()
+	run := c.joins.before(r, now)
+	if run != nil {
+		at = run.At
+	}
+	return c.set.Classes[r.query.Class].Harmless(at, now), run != nil
 }
 
 // HandBack answers what is open, for a process that is about to be killed: what may be
--- a/internal/standin/postgres.go
+++ b/internal/standin/postgres.go
@@ -14,6 +14,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	_ "modernc.org/sqlite" // what is behind the wire protocol
+
+	"aniseloft/internal/testdir"
 )
 
 // Postgres stands in for a PostgreSQL server: its wire protocol (simple queries, transactions by connection) over a SQLite
@@ -30,7 +32,7 @@
 
 // NewPostgres serves until the test ends.
 func NewPostgres(t *testing.T) *Postgres {
-	db, err := sql.Open("sqlite", "file:"+filepath.Join(t.TempDir(), "pg.db")+"?_pragma=journal_mode(WAL)&_pragma=busy_timeout(2000)")
+	db, err := sql.Open("sqlite", "file:"+filepath.Join(testdir.Dir(t), "pg.db")+"?_pragma=journal_mode(WAL)&_pragma=busy_timeout(2000)")
 	require.NoError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
