State file, descriptors and withdrawals: what was written twice is called once

Change: loadState is the one place that reads, judges and sets aside the state file (follow read a bad one twice); onDescriptor leads peek and gone to the socket; watch itself looks first; withdrawAs stands for a call of lost() for its side effect; the protocol's 50 ms on sockets is one constant, from which the rest between two owners and the time until an engine forgets are derived. No change of behaviour. Measured: tests of transport, program, oncall and cmd/aniseloft green.

--- a/internal/program/oncall.go
+++ b/internal/program/oncall.go
@@ -63,17 +63,11 @@
 	if info.ModTime().Equal(f.seen) && info.Size() == f.size {
 		return
 	}
-	raw, err := os.ReadFile(f.path)
-	if err != nil {
-		p.log.Warn("state file unreadable", "path", f.path, "err", err)
+	s, err := p.loadState(f)
+	if errors.Is(err, errUnreadable) {
 		return
 	}
-	f.seen, f.size = info.ModTime(), info.Size()
-	s, err := oncall.Decode(raw)
-	if err != nil {
-		aside := f.path + ".bad-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
-		p.log.Error("state file not used; kept aside", "path", f.path, "aside", aside, "err", err)
-		_ = os.Rename(f.path, aside)
+	if f.seen, f.size = info.ModTime(), info.Size(); err != nil {
 		return
 	}
 	p.core.Overrides(func(h *oncall.Overrides) bool {
@@ -86,6 +80,25 @@
 	})
 }
 
+// errUnreadable says that the state file can't be read now; it may be at the next look.
+var errUnreadable = errors.New("state file unreadable")
+
+// loadState reads the file. One that can't be used is reported, and kept aside.
+func (p *Program) loadState(f *stateFile) (oncall.State, error) {
+	raw, err := os.ReadFile(f.path)
+	if err != nil {
+		p.log.Warn("state file unreadable", "path", f.path, "err", err)
+		return oncall.State{}, errUnreadable
+	}
+	s, err := oncall.Decode(raw)
+	if err != nil {
+		aside := f.path + ".bad-" + strconv.FormatInt(time.Now().UnixMilli(), 10)
+		p.log.Error("state file not used; kept aside", "path", f.path, "aside", aside, "err", err)
+		_ = os.Rename(f.path, aside)
+	}
+	return s, err
+}
+
 // change carries out a change of what is out by hand, in step with the other process:
 // under the file's lock it takes what that one wrote, makes the change and writes the
 // whole state anew, all or nothing. Where the lock can't be had it does so all the same, as
@@ -137,14 +150,10 @@
 	if !locked {
 		return
 	}
-	raw, err := os.ReadFile(f.path)
-	if err != nil {
+	s, bad := p.loadState(f)
+	if errors.Is(bad, errUnreadable) {
 		return // with the next look
 	}
-	s, bad := oncall.Decode(raw)
-	if bad != nil {
-		p.readState(f, false) // reports it and sets it aside
-	}
 	var lacks bool
 	var out []byte
 	p.core.Overrides(func(h *oncall.Overrides) bool {
@@ -329,13 +338,12 @@
 			return
 		case <-t.C:
 			p.state.mu.Lock()
-			if len(p.state.owed) == 0 {
-				p.follow(p.state, false)
-			} else {
-				unlock, had := lockFile(p.state.path+".lock", 1)
-				p.follow(p.state, had)
-				unlock()
+			unlock, had := func() {}, false
+			if len(p.state.owed) > 0 {
+				unlock, had = lockFile(p.state.path+".lock", 1)
 			}
+			p.follow(p.state, had)
+			unlock()
 			p.state.mu.Unlock()
 		}
 	}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -79,12 +79,17 @@
 		// bring no answer in time, something is wrong with it.
 		out.Outcome = decide.OutcomeError
 	}
+	withdrawAs(alone, withdraw)
+	return out
+}
+
+// withdrawAs waits for the end of a withdrawal where no other attempt may be out beside the one withdrawn.
+func withdrawAs(alone bool, withdraw func()) {
 	if alone {
 		withdraw()
 	} else {
 		go withdraw()
 	}
-	return out
 }
 
 // errUnreachable says that an engine could not be connected to again.
@@ -210,7 +215,7 @@
 
 // forgetAfter is how long an engine lets a query run that nobody asks for: the protocol's time, with
 // the slack that it gives every time.
-const forgetAfter = 2*time.Second + 50*time.Millisecond
+const forgetAfter = 2*time.Second + protocolSlack
 
 // giveUp returns what tells the engine that nobody waits for an attempt any more. From now on a further
 // one under its call, which may come until the given time, waits here for the end of that.
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -230,20 +230,12 @@
 
 // gone tells whether the client has closed its side, whatever waits unread before that.
 func (c *ClientConn) gone() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
 	look := []unix.PollFd{{Events: unix.POLLRDHUP}}
-	err = raw.Control(func(fd uintptr) {
+	err := onDescriptor(c.Conn, func(fd int) {
 		look[0].Fd = int32(fd)
 		_, _ = unix.Poll(look, 0)
 	})
-	return err != nil || look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return err != nil && !errors.Is(err, errors.ErrUnsupported) || look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // unread tells whether bytes wait on a connection that nobody has read.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -24,7 +24,10 @@
 // answer may come behind it: taken for the next query's own, it would be a result that no engine made,
 // or a word that what runs never ran. Bytes that came meanwhile end the connection. How late a copy may
 // come the protocol doesn't say; this is the slack that it gives every time.
-const settle = 50 * time.Millisecond
+const settle = protocolSlack
+
+// protocolSlack is how much longer each time of the protocol is on sockets.
+const protocolSlack = 50 * time.Millisecond
 
 // maxRedials is how often a connection that was reset as it came up is opened again.
 const maxRedials = 2
@@ -291,24 +294,32 @@
 // error where the other side has closed, and the error is EAGAIN where the connection is silent. It looks
 // by Control, as Read would refuse a connection whose last call's deadline has passed.
 func peek(c net.Conn) (n int, err error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, syscall.EAGAIN
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	cerr := raw.Control(func(fd uintptr) {
+	cerr := onDescriptor(c, func(fd int) {
 		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
+	if errors.Is(cerr, errors.ErrUnsupported) {
+		return 0, syscall.EAGAIN
+	}
 	if cerr != nil {
 		return 0, cerr
 	}
 	return max(n, 0), err
 }
 
+// onDescriptor does something with the descriptor of a connection; one that has none is errors.ErrUnsupported.
+func onDescriptor(c net.Conn, f func(fd int)) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
+
 // write sends bytes by the deadline. A connection keeps the deadlines of the
 // call before, so each call sets its own; and it looks at ctx only after that,
 // since the end of ctx sets a deadline in the past that must not be put off.
--- a/internal/transport/restengine.go
+++ b/internal/transport/restengine.go
@@ -76,7 +76,7 @@
 		return routing.Result{Outcome: decide.OutcomeCancelled}
 	}
 	if errors.Is(err, errSink) { // for no fault of the engine
-		e.lost(err, a.Alone, giveUp)
+		withdrawAs(a.Alone, giveUp)
 		return routing.Result{Outcome: decide.OutcomeLost, Why: err.Error()}
 	}
 	return e.lost(err, a.Alone, giveUp)
--- a/internal/transport/restfront.go
+++ b/internal/transport/restfront.go
@@ -301,9 +301,6 @@
 		to.Sink = q
 	}
 	defer q.watch(c)()
-	if c.gone() { // while it was recorded
-		q.left()
-	}
 	q.submit(to)
 	row.State = store.Running
 	return f.await(ctx, &row, m.Host, 0, true)
@@ -313,8 +310,13 @@
 // may begin for a client that left over 100 ms ago.
 const goneLook = 25 * time.Millisecond
 
-// watch looks whether a query's client leaves before its first answer, until the returned func is called.
+// watch looks whether a query's client leaves before its first answer, or has left while the query was
+// recorded, until the returned func is called.
 func (q *restQuery) watch(c *ClientConn) (stop func()) {
+	if c.gone() {
+		q.left()
+		return func() {}
+	}
 	over := make(chan struct{})
 	go func() {
 		t := time.NewTicker(goneLook)
