Drills: an attempt counts by its arrival at the relay, also where the relay has ended it

The attempt's connection had been given up by the coordinator; the relay forwarded it late and closed both sides, and with them forgot where the connection came from, so that the engine dated the request by the relay's own late write. Change: what relays know of origins outlives the connection, in one registry keyed by both addresses as the engine sees them.

--- a/internal/drill/real.go
+++ b/internal/drill/real.go
@@ -57,6 +57,7 @@
 	replicaAddresses []string          // by process
 	restAddresses    []string          // by process
 	logs             []*processLog
+	origins          *connectionOrigins
 	rig              *live.Controller // set once, before the first fault
 	startedAt        time.Time        // set once, before the first fault
 
@@ -91,7 +92,7 @@
 	r := &realRun{
 		drill: d, options: options, directory: options.Directory, rng: des.Stream(options.Seed, "drill"),
 		replicaRelays: map[link]*Relay{}, serviceRelays: map[serviceRoute]*Relay{}, datagramRelays: map[link]*DatagramRelay{},
-		faulted: map[int]bool{}, upgraded: map[int]bool{},
+		origins: newConnectionOrigins(), faulted: map[int]bool{}, upgraded: map[int]bool{},
 	}
 	var err error
 	if r.directory == "" {
@@ -125,7 +126,7 @@
 		Environment: func(process int) (string, []string, io.Writer) {
 			return r.home(process), r.environment(process), r.logs[process]
 		},
-		ServiceAddress: r.serviceAddress, ReceivedAt: r.receivedAt, GossipAddresses: r.peerAddresses, Program: r.program,
+		ServiceAddress: r.serviceAddress, ReceivedAt: r.origins.receivedAt, GossipAddresses: r.peerAddresses, Program: r.program,
 		Control: func(_ context.Context, rig *live.Controller) { r.start(rig) },
 	})
 }
--- a/internal/drill/real_network.go
+++ b/internal/drill/real_network.go
@@ -46,7 +46,7 @@
 	if service == live.ToEngine && (address == "" || len(r.serviceRelays) >= maxServiceRelays) {
 		return address, nil
 	}
-	relay, err := NewRelay(address)
+	relay, err := newRelay(address, r.origins)
 	if err != nil {
 		return "", err
 	}
@@ -54,21 +54,6 @@
 	return relay.Addr(), nil
 }
 
-// receivedAt returns when the message that passes a relay to an engine now left its coordinator.
-func (r *realRun) receivedAt(remote string) (at time.Time, known bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for route, relay := range r.serviceRelays {
-		if route.service != live.ToEngine {
-			continue
-		}
-		if at, known = relay.ReceivedAt(remote); known {
-			return at, true
-		}
-	}
-	return time.Time{}, false
-}
-
 // peerAddresses returns the addresses to which a process sends datagrams for its peers.
 func (r *realRun) peerAddresses(process int, peers []string) ([]string, error) {
 	r.mu.Lock()
--- a/internal/drill/relay.go
+++ b/internal/drill/relay.go
@@ -16,11 +16,11 @@
 type Relay struct {
 	target   string
 	listener net.Listener
+	origins  *connectionOrigins // told of each connection to the target; nil: nobody asks
 
 	mu                sync.Mutex // guards the fields below
 	unblocked         *sync.Cond // signals a change of the blocked fields or of closed
 	connections       map[net.Conn]struct{}
-	origins           map[string]*receivetime.Conn // by the relay's address as the target sees it
 	closed            bool
 	blockedToTarget   bool
 	blockedFromTarget bool
@@ -30,12 +30,14 @@
 }
 
 // NewRelay listens on loopback for connections that are to go to target.
-func NewRelay(target string) (*Relay, error) {
+func NewRelay(target string) (*Relay, error) { return newRelay(target, nil) }
+
+func newRelay(target string, origins *connectionOrigins) (*Relay, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &Relay{target: target, listener: listener, connections: map[net.Conn]struct{}{}, origins: map[string]*receivetime.Conn{}}
+	r := &Relay{target: target, listener: listener, origins: origins, connections: map[net.Conn]struct{}{}}
 	r.unblocked = sync.NewCond(&r.mu)
 	go r.acceptLoop()
 	return r, nil
@@ -116,33 +118,6 @@
 	_ = connection.Close()
 }
 
-// ReceivedAt returns when the message that a connection to the target carries now reached the relay; remote is the relay's
-// address as the target sees it.
-func (r *Relay) ReceivedAt(remote string) (at time.Time, known bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	origin := r.origins[remote]
-	if origin == nil {
-		return time.Time{}, false
-	}
-	return origin.MessageBegan(), true
-}
-
-// trackOrigin notes where a connection to the target comes from, until the returned function is called.
-func (r *Relay) trackOrigin(target net.Conn, origin *receivetime.Conn) (forget func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	remote := target.LocalAddr().String()
-	r.origins[remote] = origin
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.origins[remote] == origin {
-			delete(r.origins, remote)
-		}
-	}
-}
-
 // forward connects to the target once nothing blocks that, and copies bytes both ways until one direction ends.
 func (r *Relay) forward(accepted net.Conn) {
 	client, err := receivetime.New(accepted.(*net.TCPConn))
@@ -162,7 +137,9 @@
 	}
 	r.track(target)
 	defer r.closeConnection(target)
-	defer r.trackOrigin(target, client)()
+	if r.origins != nil {
+		r.origins.add(target, client)
+	}
 	done := make(chan struct{}, 2)
 	go func() {
 		r.copy(target, client, &r.blockedToTarget)
--- a/internal/emulator/live/engine.go
+++ b/internal/emulator/live/engine.go
@@ -47,10 +47,10 @@
 	timer          *time.Timer
 	endedWork      engine.WorkTotals
 	drawError      func() bool
-	drawPlan       func(class int) float64               // draws the multiple of its work that an attempt takes
-	neighbourRatio float64                               // part of the machine that another program uses
-	reportDelayMS  float64                               // added to reports
-	receivedAt     func(remote string) (time.Time, bool) // see Options.ReceivedAt
+	drawPlan       func(class int) float64                        // draws the multiple of its work that an attempt takes
+	neighbourRatio float64                                        // part of the machine that another program uses
+	reportDelayMS  float64                                        // added to reports
+	receivedAt     func(local, remote net.Addr) (time.Time, bool) // see Options.ReceivedAt
 }
 
 // engineQuery is a query that the engine holds.
@@ -118,15 +118,16 @@
 
 // sentAt returns when the first byte of a request left its coordinator.
 func (e *Engine) sentAt(r *http.Request) float64 {
+	c, timed := r.Context().Value(connectionKey{}).(*receivetime.Conn)
+	if !timed {
+		return e.clock.Now()
+	}
 	if e.receivedAt != nil {
-		if at, passedProxy := e.receivedAt(r.RemoteAddr); passedProxy {
+		if at, passedProxy := e.receivedAt(c.LocalAddr(), c.RemoteAddr()); passedProxy {
 			return e.clock.Of(at)
 		}
 	}
-	if c, ok := r.Context().Value(connectionKey{}).(*receivetime.Conn); ok {
-		return e.clock.Of(c.MessageBegan())
-	}
-	return e.clock.Now()
+	return e.clock.Of(c.MessageBegan())
 }
 
 // startProcess starts a new process; started is when it begins to warm up.
--- a/internal/emulator/live/rehearsal.go
+++ b/internal/emulator/live/rehearsal.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"sync"
 	"syscall"
@@ -34,9 +35,9 @@
 	// ServiceAddress returns the address by which a coordinator reaches a service, ToJournal or ToEngine, that listens at
 	// addr. Nil: directly.
 	ServiceAddress func(n int, to, addr string) (string, error)
-	// ReceivedAt returns when the message that passes a proxy to an engine now left its coordinator; remote is the proxy's
-	// address as the engine sees it. Nil: connections pass none.
-	ReceivedAt func(remote string) (time.Time, bool)
+	// ReceivedAt returns when the message that an engine reads now from a connection, which it knows by these addresses, left
+	// its coordinator; false: the connection passes no proxy. Nil: none does.
+	ReceivedAt func(local, remote net.Addr) (time.Time, bool)
 	// GossipAddresses returns the addresses to which a coordinator sends its peers' datagrams. Nil: directly.
 	GossipAddresses func(n int, peers []string) ([]string, error)
 	// Control is called at the start, to inject further faults into coordinators.
