Leases: a fence that the target has accepted from another holder is passed

Seen by callers: a job (pruning, collection, reading the list for all) stood still until somebody moved it, restarted or drained. After a consensus group lost its disks, the new group grants from 1 again; where its grant met the very fence that the target had accepted from the former holder, the target refused every write and the group renewed the lease all the same.

Cause: raiseFences proposed only where the reported fence was above the group's; here the two are equal.

The conformance test of the backends gets the same step.

Why it works: the holder itself reports its own fence as refused. The leader then frees the job by the command that is in the log format already, so replicas of earlier builds apply it alike, and the next grant is one above. Another client's report of that fence changes nothing, as its holder may be accepted. The same fault elsewhere: a client dropped its own newer lease where a late write of its older grant was refused by it; it keeps it now.

--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -249,3 +249,23 @@
 	_, err := NewReplica(valid)
 	require.NoError(t, err)
 }
+
+// The target has accepted the holder's own fence from another holder: the leader must pass it, not go on renewing.
+func TestFenceThatItsHolderReportsAsRefusedIsPassed(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.runUntilLeader()
+	holder := lease.Holder{Name: "c0", Incarnation: 1}
+	g.run(lease.DefaultTiming().LeaseTTL, g.keepAlive(holder))
+	before := g.job()
+	require.Equal(t, holder.String(), before.Holder)
+	refused := lease.KeepAliveRequest{Holder: holder, SentAt: g.now, Capacity: 1, Jobs: []string{testJob},
+		HigherFences: []lease.GrantID{{Job: testJob, Fence: before.Fence}}}
+	other := refused
+	other.Holder = lease.Holder{Name: "c1", Incarnation: 1}
+	g.call(g.leader(), func(r *Replica) { r.HandleKeepAlive(g.now, other) })
+	g.run(lease.DefaultTiming().Tick, nil)
+	require.Equal(t, before.Holder, g.job().Holder, "it is the present holder's, as far as another knows")
+	g.call(g.leader(), func(r *Replica) { r.HandleKeepAlive(g.now, refused) })
+	g.run(lease.DefaultTiming().LeaseTTL/4, nil)
+	require.Greater(t, g.job().Fence, before.Fence)
+}
--- a/internal/consensus/keepalive.go
+++ b/internal/consensus/keepalive.go
@@ -91,11 +91,19 @@
 	}
 }
 
-// raiseFences proposes to pass the fences that targets have reported, so that the next grant is accepted by them.
+// raiseFences proposes to pass the fences that targets have reported, so that the next grant is accepted by them. A
+// reported fence that is the client's own was accepted from another holder, by the grant of a former group: freeing the
+// job passes it, as the next grant is one above.
 func (r *Replica) raiseFences(request lease.KeepAliveRequest) {
 	for _, id := range request.HigherFences {
-		if l := r.state.Jobs[id.Job]; slices.Contains(r.config.Jobs, id.Job) && (l == nil || l.Fence < id.Fence) {
+		if !slices.Contains(r.config.Jobs, id.Job) {
+			continue
+		}
+		switch l := r.state.jobLease(id.Job); {
+		case l.Fence < id.Fence:
 			r.propose(command{Kind: commandRaiseFence, Job: id.Job, Fence: id.Fence, Reason: reasonHigherFence})
+		case l.Fence == id.Fence && l.isHolder(request.Holder):
+			r.propose(command{Kind: commandRelease, Job: id.Job, Fence: id.Fence, Reason: reasonHigherFence})
 		}
 	}
 }
--- a/internal/drill/violation.go
+++ b/internal/drill/violation.go
@@ -9,6 +9,7 @@
 	RuleLinearizable = "order"   // admitted and rejected writes are linearizable over a register that only grows
 	RuleRequest      = "request" // no request is lost, and no rule of the protocol violated
 	RuleProgress     = "owned"   // the jobs are done at all
+	RuleRefusal      = "refused" // no grant is renewed for longer than a few keep-alives while its target refuses it
 )
 
 // Violation is one violation of a rule.
--- a/internal/drill/virtual.go
+++ b/internal/drill/virtual.go
@@ -45,7 +45,8 @@
 	replicas     []string // names of the consensus group's members, by the newest configuration
 	generation   uint64   // of the configuration
 	fenceRecords map[string]*lease.FenceRecord
-	partitions   map[link]int // number of partitions that block a link
+	refusals     map[string]*refusedGrant // the grant whose writes the target refuses, by job
+	partitions   map[link]int             // number of partitions that block a link
 	lossRatio    float64
 	// assumptionsHold: clocks and disks have kept to what the protocol assumes. Two owners at one time violate a rule only
 	// while it holds.
@@ -87,7 +88,7 @@
 		drill: d, disabled: disabled,
 		networkRand: des.Stream(seed, "net"), faultRand: des.Stream(seed, "dice"),
 		timing: lease.DefaultTiming(), replicas: processNames(d.Replicas), generation: 1,
-		fenceRecords: map[string]*lease.FenceRecord{}, partitions: map[link]int{},
+		fenceRecords: map[string]*lease.FenceRecord{}, refusals: map[string]*refusedGrant{}, partitions: map[link]int{},
 		assumptionsHold: true, lastFault: causeBeforeFault, unownedSince: map[string]float64{},
 		result: &VirtualResult{Seed: seed, unowned: unownedTimes{}, Faults: d.schedule(seed)},
 	}
--- a/internal/drill/virtual_checks.go
+++ b/internal/drill/virtual_checks.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"aniseloft/internal/lease"
 )
 
 // sampleIntervalMS is the resolution of the times without an owner.
@@ -71,3 +73,38 @@
 		}
 	}
 }
+
+// maxRefusedKeepAlives is how many keep-alive intervals a grant may be renewed for while its target refuses it: the holder
+// reports the refusal with the next one.
+const maxRefusedKeepAlives = 3
+
+// refusedGrant is a grant whose writes a target refuses, without another's in between.
+type refusedGrant struct {
+	fence    lease.Fence
+	holder   string
+	since    float64
+	violated bool
+}
+
+// checkRefusals finds a grant that is renewed again and again while its target refuses it: the job stands still. A
+// holder whose group has no quorum gets no renewal, and stops.
+func (s *simulation) checkRefusals(write FencedWrite) {
+	if write.Admitted {
+		delete(s.refusals, write.Job)
+		return
+	}
+	now, refused := s.loop.Now(), s.refusals[write.Job]
+	if refused == nil || refused.fence != write.Fence || refused.holder != write.Holder {
+		s.refusals[write.Job] = &refusedGrant{fence: write.Fence, holder: write.Holder, since: now}
+		return
+	}
+	limit := maxRefusedKeepAlives * s.timing.LeaseTTL / lease.KeepAlivesPerLease
+	if refused.violated || now-refused.since <= limit {
+		return
+	}
+	refused.violated = true
+	s.result.Violations = append(s.result.Violations, Violation{
+		Rule: RuleRefusal, Process: write.Holder, AtMS: now,
+		Detail: fmt.Sprintf("%s: fence %d is refused since %.0f ms and still renewed", write.Job, write.Fence, refused.since),
+	})
+}
--- a/internal/drill/virtual_owner.go
+++ b/internal/drill/virtual_owner.go
@@ -77,6 +77,9 @@
 	if err == nil {
 		*record = next
 	}
+	if !s.disabled.FenceCheck {
+		s.checkRefusals(write)
+	}
 	highest := record.Fence
 	index := len(s.result.writes)
 	s.result.writes = append(s.result.writes, write)
--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -159,10 +159,15 @@
 	c.expire(now)
 }
 
-// ObserveHigherFence drops a lease whose target has seen a later fence, and has the leader pass that fence.
+// ObserveHigherFence drops a lease whose target has seen a later fence, or the same from another holder, and has the
+// leader pass that fence. A refused operation of an earlier grant says nothing where this client holds the later one.
 func (c *Client) ObserveHigherFence(job string, refusal StaleFenceError) {
+	held := c.held[job]
+	if held != nil && held.fence == refusal.Highest && refusal.Fence < refusal.Highest {
+		return
+	}
 	c.higherFences[job] = max(c.higherFences[job], refusal.Highest)
-	if held := c.held[job]; held != nil && held.fence <= refusal.Highest {
+	if held != nil && held.fence <= refusal.Highest {
 		c.lose(job, held, reasonHigherFence)
 	}
 }
--- a/internal/lease/client_test.go
+++ b/internal/lease/client_test.go
@@ -120,6 +120,23 @@
 	require.Equal(t, []GrantID{{testJob, 9}}, c.KeepAlive(200).HigherFences)
 }
 
+// A late operation of an earlier grant is refused by the client's own later one, which must not be dropped for it.
+func TestOwnLaterGrantAtTheTargetIsKept(t *testing.T) {
+	c := clientWithLease(t, 0)
+	c.ObserveHigherFence(testJob, StaleFenceError{Job: testJob, Fence: 2, Highest: 3})
+	_, held := c.Held(200, testJob)
+	require.True(t, held)
+	require.Empty(t, c.KeepAlive(200).HigherFences)
+}
+
+func TestSameFenceOfAnotherHolderAtTheTargetDropsTheLeaseAndIsReported(t *testing.T) {
+	c := clientWithLease(t, 0)
+	c.ObserveHigherFence(testJob, StaleFenceError{Job: testJob, Fence: 3, Highest: 3})
+	_, held := c.Held(200, testJob)
+	require.False(t, held)
+	require.Equal(t, []GrantID{{testJob, 3}}, c.KeepAlive(200).HigherFences)
+}
+
 func TestObserveAssignmentFollowsTheLatestGrantOnly(t *testing.T) {
 	assignment := func(fence Fence, holder string) Assignment {
 		return Assignment{GrantID: GrantID{testJob, fence}, HolderName: holder}
--- a/internal/transport/leasetable/conform_test.go
+++ b/internal/transport/leasetable/conform_test.go
@@ -129,6 +129,14 @@
 	x.record = lease.FenceRecord{Fence: x.record.Fence + count, Holder: "of before"}
 }
 
+// claimFence has the target have accepted its highest fence from a holder of a former backend that granted it too.
+func (x *target) claimFence() (claimed lease.Fence) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.record.Holder = "of before"
+	return x.record.Fence
+}
+
 // cluster is three coordinators that compete for the job.
 type cluster struct {
 	nodes  []leasebackend.Backend
@@ -178,7 +186,7 @@
 }
 
 // Every backend must grant the job to one coordinator at a time, under a higher fence each time: to another when the
-// holder drains or dies, past a fence that the target has seen, and to nobody while the backend is down.
+// holder drains or dies, past a fence that the target has seen from it or from another, and to nobody while the backend is down.
 func TestBackendsConform(t *testing.T) {
 	for name, newBackend := range backends {
 		t.Run(name, func(t *testing.T) {
@@ -205,6 +213,10 @@
 			c.eventuallyOperates(t, third)
 			require.Greater(t, c.target.highestFence(), lease.Fence(1000))
 
+			claimed := c.target.claimFence()
+			c.eventuallyOperates(t, third)
+			require.Greater(t, c.target.highestFence(), claimed)
+
 			if b.setDown != nil {
 				b.setDown(true)
 				eventually(t, func() bool { return c.holder() < 0 }, "it owns on while nobody can be asked")
--- a/internal/transport/leasetable/leasetable.go
+++ b/internal/transport/leasetable/leasetable.go
@@ -86,6 +86,8 @@
 	var errs []error
 	for _, id := range request.HigherFences {
 		errs = append(errs, n.store.RaiseFence(ctx, id.Job, id.Fence))
+		// A fence that is this client's own was accepted from another holder: once the job is free the next grant passes it.
+		errs = append(errs, n.store.ReleaseLease(ctx, id.Job, holder, id.Fence))
 	}
 	for _, id := range request.Released {
 		errs = append(errs, n.store.ReleaseLease(ctx, id.Job, holder, id.Fence))
