Leases: a response on its way does not bring a refused lease back

Seen by callers: one round of refused work after a target had refused a fence. Cause: Client.renew looked at the newest assignments and at what had been released, but not at the higher fences that the client itself had reported, so a response sent before the leader knew of the refusal renewed the refused lease. Change: a grant at or below the reported fence is ignored. It can't lock a job: whoever ignores its grant reports the fence, and the leader passes it.

--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -101,14 +101,15 @@
 }
 
 // renew extends a lease, or takes one that is new. The lease counts from when the request was sent, which is before the
-// leader received it.
-//
-// It does not consult higherFences. A response that was on its way when a target refused the fence can therefore make the
-// client take the same stale fence again; the target still refuses its operations, and the lease is dropped again.
+// leader received it. A response that was on its way when a target refused the fence brings nothing back: the target would
+// refuse all further operations too.
 func (c *Client) renew(now, sentAt Millis, grant Grant) {
 	if slices.Contains(c.released, grant.GrantID) {
 		return // the response was sent before the leader knew of the release
 	}
+	if grant.Fence <= c.higherFences[grant.Job] {
+		return // the response was sent before the leader knew of the refusal
+	}
 	expiresAt := sentAt + c.localTTL(grant.TTL)
 	held := c.held[grant.Job]
 	switch {
--- a/internal/lease/client_test.go
+++ b/internal/lease/client_test.go
@@ -120,6 +120,24 @@
 	require.Equal(t, []GrantID{{testJob, 9}}, c.KeepAlive(200).HigherFences)
 }
 
+// A response that was on its way when a target refused the fence must not bring the refused lease back.
+func TestRefusedLeaseIsNotTakenBack(t *testing.T) {
+	for name, highest := range map[string]Fence{"a higher fence at the target": 9, "the same fence of another holder": 3} {
+		t.Run(name, func(t *testing.T) {
+			c := clientWithLease(t, 0)
+			onItsWay := response(c.KeepAlive(150), renewal())
+			c.ObserveHigherFence(testJob, StaleFenceError{Job: testJob, Fence: 3, Highest: highest})
+			c.HandleResponse(200, onItsWay)
+			_, may := c.Begin(210, testJob)
+			require.False(t, may)
+			c.HandleResponse(300, response(c.KeepAlive(250), Grant{GrantID: GrantID{testJob, highest + 1}, TTL: testTTL}))
+			fence, may := c.Begin(310, testJob)
+			require.True(t, may, "the next grant is accepted")
+			require.Equal(t, highest+1, fence)
+		})
+	}
+}
+
 // A late operation of an earlier grant is refused by the client's own later one, which must not be dropped for it.
 func TestOwnLaterGrantAtTheTargetIsKept(t *testing.T) {
 	c := clientWithLease(t, 0)
