A crowd no longer cuts off a client that writes its message slowly

Seen by callers: a client that writes a request in pieces over 2 s got a close instead of its answer while a crowd came and went (TestASlowWriterIsServedWhileACrowdComesAndGoes).

Cause: after the stall the listener takes the crowd's backlog at once. Each connection evicts the one that is idle the longest; as soon as the few older ones are gone, that is the slow writer, whose next piece is due 200 ms later. Any crowd that fills the limit within the gap of a writer does the same.

Change: a client that has sent more than the beginning of a message is evicted only where nobody else can go, until its 2.5 s for the message are over. What is left: after its first piece alone a writer can't be told from a client that stopped half way.

--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -38,6 +38,7 @@
 	mu           sync.Mutex
 	lastActive   time.Time // when it arrived, last completed a message or got its last answer
 	partialSince time.Time // when the message began that is not complete; zero: none
+	partialReads int       // that brought pieces of it
 	lastRead     time.Time // when its last bytes came
 	sentMessage  bool      // it has sent a complete message
 	openRequests int       // requests without their answer
@@ -55,10 +56,13 @@
 	if completed {
 		c.sentMessage, c.lastActive = true, now
 	}
-	if !incomplete {
-		c.partialSince = time.Time{}
-	} else if c.partialSince.IsZero() || completed {
-		c.partialSince = now
+	switch {
+	case !incomplete:
+		c.partialSince, c.partialReads = time.Time{}, 0
+	case c.partialSince.IsZero() || completed:
+		c.partialSince, c.partialReads = now, 1
+	default:
+		c.partialReads++
 	}
 }
 
@@ -212,6 +216,14 @@
 	return !c.partialSince.IsZero() && time.Since(c.lastRead) < drainGracePeriod
 }
 
+// writesSlowly reports whether its client is writing a message in pieces, as more than the beginning has come of it. One that
+// stopped in the middle counts until its time for the message is over.
+func (c *Conn) writesSlowly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.partialReads > 1 && time.Since(c.partialSince) < messageTimeout
+}
+
 // idleSince returns since when nothing is open on it and no byte came; ok is false while something
 // is open. A client that sends slowly is active, one that stopped in the middle is not.
 func (c *Conn) idleSince() (at time.Time, ok bool) {
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// minEvictionAge is how long a connection is spared from eviction after its last activity: the
-	// first message of a new one may be on its way.
-	minEvictionAge = 25 * time.Millisecond
 	// acceptRetryInterval is the time between two looks for a connection to evict, or between
 	// failed accepts.
 	acceptRetryInterval = 5 * time.Millisecond
@@ -154,30 +151,6 @@
 	_ = c.Close()
 }
 
-// makePlace reports whether there is a place for one more connection, evicting the one that is idle
-// the longest if need be: clients may hold theirs for good, or connect and send nothing.
-func (l *Listener) makePlace() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.conns) < l.limit {
-		return true
-	}
-	var victim *Conn
-	var since time.Time
-	for c := range l.conns {
-		if at, idle := c.idleSince(); idle && (victim == nil || at.Before(since)) {
-			victim, since = c, at
-		}
-	}
-	if victim == nil || time.Since(since) < minEvictionAge || !victim.claimClose(closeEvicted) {
-		return false
-	}
-	l.counts.evicted.Add(1)
-	delete(l.conns, victim)
-	_ = victim.SetReadDeadline(time.Now()) // its reader is to end it
-	return true
-}
-
 // ReceivingMessage reports whether any client is in the middle of sending a message.
 func (l *Listener) ReceivingMessage() bool {
 	l.mu.Lock()
--- a/internal/transport/listener/listener_test.go
+++ b/internal/transport/listener/listener_test.go
@@ -74,6 +74,42 @@
 	}
 }
 
+// A crowd that arrives between two pieces of a slowly written message, as after a stall, must not have its connection
+// evicted while others that only began a message, or none, can go.
+func TestCrowdDoesNotEvictASlowWriter(t *testing.T) {
+	l := &Listener{limit: 3, conns: map[*Conn]struct{}{}}
+	add := func(lastActive time.Time) *Conn {
+		_, server := transporttest.Pair(t)
+		c := &Conn{Conn: server, listener: l, lastActive: lastActive}
+		l.conns[c] = struct{}{}
+		return c
+	}
+	now := time.Now()
+	slow := add(now.Add(-time.Second))
+	slow.RecordRead(false, true)
+	slow.RecordRead(false, true)
+	slow.lastRead = now.Add(-200 * time.Millisecond)
+	stopped := add(now.Add(-100 * time.Millisecond))
+	stopped.RecordRead(false, true)
+	stopped.lastRead = now.Add(-100 * time.Millisecond)
+	silent := add(now.Add(-50 * time.Millisecond))
+
+	for _, victim := range []*Conn{stopped, silent} {
+		require.True(t, l.makePlace())
+		require.NotContains(t, l.conns, victim)
+		require.Contains(t, l.conns, slow)
+		add(time.Now().Add(-time.Millisecond))
+	}
+	require.False(t, l.makePlace(), "the newest are spared for a moment, and the writer for them")
+	for c := range l.conns {
+		if c != slow {
+			c.openRequests = 1
+		}
+	}
+	require.True(t, l.makePlace(), "where nobody else can go the writer does")
+	require.NotContains(t, l.conns, slow)
+}
+
 // Operators' programs parse the line of counters.
 func TestListenerCountersKeepTheirForm(t *testing.T) {
 	l := newListener(t, 4, func(context.Context, *Conn) {})
