A request that is taken in the instant of the last answers is rejected at once

Seen by callers: a request read just before the answers of a shutdown and submitted just after them stayed open until its own deadline, past the kill, and was lost. Cause: AnswerAllOpen answered what was open when its event came, once. Change: the dispatcher answers what is submitted after it alike: nothing has run, so it is rejected with the same Retry-After. Evidence: TestRequestsAfterTheLastAnswersAreRejectedAtOnce failed before ('nothing came' in 20 s).

--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -63,6 +63,12 @@
 // its key that ended without a result.
 func (d *Dispatcher) admit(ticket Ticket, query Query, responder Responder) {
 	r := &request{Ticket: ticket, query: query, responder: responder, priority: -1}
+	if d.ending {
+		answer := d.unservedAnswer(r, reasonProcessEnds)
+		answer.RetryAfter = d.endingRetryAfter
+		d.answer(r, answer)
+		return
+	}
 	if len(d.requests) >= d.maxOpen || len(query.Statement) > d.freeStatement {
 		d.answer(r, Answer{Kind: Rejected, RetryAfter: millis.Duration(d.settings.MaxRetryAfter), Reason: reasonTooManyOpen})
 		return
--- a/internal/routing/dispatcher.go
+++ b/internal/routing/dispatcher.go
@@ -42,6 +42,9 @@
 	maxOpen       int // requests
 	freeStatement int // bytes of statements that may still be admitted
 
+	ending           bool // AnswerAllOpen was called: nothing more is taken
+	endingRetryAfter time.Duration
+
 	lastID        atomic.Uint64
 	openCount     atomic.Int64
 	lastSubmitted atomic.Int64 // Unix milliseconds
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -95,9 +95,11 @@
 // AnswerAllOpen answers every open request, for a process that is about to be killed: a request
 // that may be retried is rejected with retryAfter, so that its client reaches another process;
 // one that must not run twice and may have run fails. The decisions are notified that each
-// client has left, and cancel its attempts.
+// client has left, and cancel its attempts. What is submitted after it is rejected alike: a
+// request may have been taken just before.
 func (d *Dispatcher) AnswerAllOpen(retryAfter time.Duration) {
 	d.post(func() {
+		d.ending, d.endingRetryAfter = true, retryAfter
 		for _, r := range d.requests {
 			if r.closed() && len(r.followers) == 0 {
 				continue
--- a/internal/routing/request_test.go
+++ b/internal/routing/request_test.go
@@ -135,3 +135,17 @@
 	require.Empty(t, upstream.attempts)
 	require.Empty(t, recorder.answers, "one answer")
 }
+
+// A request that was taken in the instant of the last answers would stay open until its own deadline, past the kill.
+func TestRequestsAfterTheLastAnswersAreRejectedAtOnce(t *testing.T) {
+	d, upstream, list := startDispatcher(t, true, 5000)
+	list()
+	d.AnswerAllOpen(50 * time.Millisecond)
+	late, _ := submit(d, "late", keyedClass, "a")
+	answer := receive(t, late.answers)
+	require.Equal(t, Rejected, answer.Kind)
+	require.Equal(t, 50*time.Millisecond, answer.RetryAfter)
+	flush(t, d)
+	require.Empty(t, upstream.attempts)
+	require.Zero(t, d.OpenRequests())
+}
