SIGTERM: the last answers come 0.3 s before the kill, which short deadlines bring forward

Seen by callers: where all deadlines of a site are under 3 s, what was open 3.5 s after SIGTERM was answered after the kill, and lost. Evidence: TestSIGTERMAnswersAllBeforeTheKillOfShortDeadlines (deadlines of 1.5 s, kill at 2.2 s) ended after 3.56 s before.

With long deadlines 0.2 s were left between the answers and the kill: answers, closes that linger 50 ms and the exit take 0.06 of them on an idle machine (3.56 s), so a process that stands still for 0.1 s at one of these steps is late. The margin is 0.3 s now. The log says at each step of a shutdown when it was done ('shutdown', with the keys step and after_ms).

--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -318,3 +318,21 @@
 	require.Contains(t, p.logged(), "handed_back=2")
 	eventually(t, func() bool { return e.count(&e.cancelled, "stay") >= 1 && e.count(&e.cancelled, "stay load") == 1 })
 }
+
+// Where all deadlines are short the kill comes sooner than after 3.7 s; what it finds open is lost.
+func TestSIGTERMAnswersAllBeforeTheKillOfShortDeadlines(t *testing.T) {
+	t.Parallel()
+	const kill = 2200 * time.Millisecond // the longest deadline and 0.7 s
+	short := strings.NewReplacer(`"promiseMs":8000`, `"promiseMs":1000`, `"deadlineMs":10000`, `"deadlineMs":1500`).Replace(settings)
+	e, j := newFakeEngine(t, false), newFakeJournal(t)
+	j.add(true, serverEntry(1, e, "active"))
+	p := startWithSettings(t, testdir.Dir(t), j, "", 0, "", short)
+	c := dialClient(t, p.listen)
+	c.send(queryLine(1, "timetable-load", "stay", 6000)) // clients may wait for four times the deadline
+	eventually(t, func() bool { return e.count(&e.attempts, "stay") == 1 })
+	at := time.Now()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.Contains(t, c.line(), `"code":-32001`)
+	require.NoError(t, p.Wait())
+	require.Less(t, time.Since(at), kill)
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -6,17 +6,24 @@
 
 // The platform's balancer stops new connections 0.2 s after a coordinator turns unready. Its open
 // connections must be closed 4 s after, when only requests older than 2 s may still be open. After
-// SIGTERM the process is killed no sooner than 3.7 s later.
+// SIGTERM the process is killed no sooner than the longest deadline, counted as 3 s where it is
+// longer, plus 0.7 s.
 const (
 	// AdmitFor is how long after a pause requests on open connections are still admitted. Later
 	// ones are rejected at once, so that none younger than 2 s is open at the 4 s mark.
 	AdmitFor = 1600 * time.Millisecond
-	// AnswerAllAfter is when, after SIGTERM, every open request is answered: the kill must not cut
-	// an answer off.
-	AnswerAllAfter = 3500 * time.Millisecond
 	// RetryAfter is what a rejection while draining tells the client: a new connection reaches
 	// another process at once.
 	RetryAfter = 100 * time.Millisecond
+
+	maxCountedDeadline = 3 * time.Second
+	killAfterDeadline  = 700 * time.Millisecond
+	// killMargin is what the way of the last answers, the lingering closes and the exit may take, by a
+	// process that gets its processor late.
+	killMargin = 300 * time.Millisecond
+	// AnswerAllAfter is when, after SIGTERM, every open request is answered at the latest: the kill
+	// must not cut an answer off.
+	AnswerAllAfter = maxCountedDeadline + killAfterDeadline - killMargin
 )
 
 const (
@@ -29,6 +36,10 @@
 // Drain is the drain state of a coordinator. While it drains, connections without an open request
 // are closed. A Drain is not safe for concurrent use; the zero value is not draining.
 type Drain struct {
+	// LongestDeadline is that of all classes, which decides when the kill may come; 0: not known, and
+	// counted as long.
+	LongestDeadline time.Duration
+
 	paused       bool
 	pausedAt     time.Time // the first PAUSE since the last RESUME
 	terminatedAt time.Time // the first SIGTERM; zero: none
@@ -57,6 +68,9 @@
 	}
 }
 
+// TerminatedAt returns when SIGTERM came; zero: it has not.
+func (d *Drain) TerminatedAt() time.Time { return d.terminatedAt }
+
 // Paused reports whether the operator's drain is on.
 func (d *Drain) Paused() bool { return d.paused }
 
@@ -84,10 +98,18 @@
 // Draining reports whether clients are sent away: a connection without an open request is closed.
 func (d *Drain) Draining() bool { return d.paused || !d.terminatedAt.IsZero() }
 
+// AnswerAllAfter returns when, after SIGTERM, every open request is to be answered.
+func (d *Drain) AnswerAllAfter() time.Duration {
+	if d.LongestDeadline <= 0 {
+		return AnswerAllAfter
+	}
+	return min(d.LongestDeadline, maxCountedDeadline) + killAfterDeadline - killMargin
+}
+
 // AnswerAllAt returns when every open request is to be answered; zero before SIGTERM.
 func (d *Drain) AnswerAllAt() time.Time {
 	if d.terminatedAt.IsZero() {
 		return time.Time{}
 	}
-	return d.terminatedAt.Add(AnswerAllAfter)
+	return d.terminatedAt.Add(d.AnswerAllAfter())
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -41,3 +41,19 @@
 	require.False(t, d.Admit(d.AnswerAllAt().Add(-quick), long), "not expected to end in time")
 	require.Less(t, AnswerAllAfter, 3700*time.Millisecond, "before the earliest kill")
 }
+
+// Where all deadlines are short the kill comes sooner: what is open then is lost, so it is answered before.
+func TestAnswersComeBeforeTheKillOfShortDeadlines(t *testing.T) {
+	for deadline, kill := range map[time.Duration]time.Duration{ // by the protocol
+		500 * time.Millisecond: 1200 * time.Millisecond,
+		2 * time.Second:        2700 * time.Millisecond,
+		3 * time.Second:        3700 * time.Millisecond,
+		25 * time.Second:       3700 * time.Millisecond,
+	} {
+		d := Drain{LongestDeadline: deadline}
+		at := time.Unix(1000, 0)
+		d.Terminate(at)
+		require.WithinRange(t, d.AnswerAllAt(), at.Add(kill-500*time.Millisecond), at.Add(kill-200*time.Millisecond), deadline)
+		require.False(t, d.Admit(d.AnswerAllAt(), time.Millisecond), deadline)
+	}
+}
--- a/internal/program/drainstate.go
+++ b/internal/program/drainstate.go
@@ -31,6 +31,27 @@
 	return d.state.Paused()
 }
 
+// setLongestDeadline tells when the kill may come; before the drain.
+func (d *drainState) setLongestDeadline(deadline time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.LongestDeadline = deadline
+}
+
+// answerAllAfter returns when, after SIGTERM, every open request is to be answered.
+func (d *drainState) answerAllAfter() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.AnswerAllAfter()
+}
+
+// terminatedAt returns when SIGTERM came; zero: it has not.
+func (d *drainState) terminatedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.TerminatedAt()
+}
+
 // terminate starts the drain after SIGTERM and returns when every open request is to be answered.
 func (d *drainState) terminate(now time.Time) (answerAllAt time.Time) {
 	d.mu.Lock()
--- a/internal/program/shutdown.go
+++ b/internal/program/shutdown.go
@@ -22,6 +22,23 @@
 	leaseReleaseTimeout = time.Second
 )
 
+// shutdownStep is a step of the graceful shutdown, as the log names it.
+type shutdownStep string
+
+// The steps, in their order.
+const (
+	stepOpenAnswered    shutdownStep = "open requests answered" // only where some were left
+	stepDrained         shutdownStep = "drained"
+	stepListenersClosed shutdownStep = "listeners closed"
+	stepPartsStopped    shutdownStep = "parts stopped"
+	stepFilesClosed     shutdownStep = "files closed"
+)
+
+// logStep logs when, after SIGTERM, a step of the shutdown was done: what a late end has waited for.
+func (p *Program) logStep(step shutdownStep) {
+	p.log.Info("shutdown", "step", string(step), "after_ms", time.Since(p.drain.terminatedAt()).Milliseconds())
+}
+
 // terminate starts the graceful shutdown after SIGTERM: clients are sent away, and every open request
 // is answered before the process may be killed. Where another process of this coordinator runs, no
 // connection is accepted any more: an upgrade's successor listens at the clients' address. Without
@@ -35,6 +52,7 @@
 	time.AfterFunc(time.Until(answerAllAt), func() {
 		p.dispatcher.AnswerAllOpen(drain.RetryAfter)
 		p.wakeListeners()
+		p.logStep(stepOpenAnswered)
 	})
 	p.wakeListeners()
 	if p.instance.othersRunning() {
@@ -79,7 +97,7 @@
 	if time.Since(p.dispatcher.LastSubmitted()) < quietFor {
 		return false
 	}
-	return time.Since(p.phaseEntered) >= drain.AnswerAllAfter || !slices.ContainsFunc(p.clientListeners(), (*listener.Listener).ReceivingMessage)
+	return time.Since(p.phaseEntered) >= p.drain.answerAllAfter() || !slices.ContainsFunc(p.clientListeners(), (*listener.Listener).ReceivingMessage)
 }
 
 // leasesReleased reports whether this coordinator's leases are released, or the time for that is over.
@@ -90,6 +108,7 @@
 // close ends the parts in the order in which they feed each other: a request that arrives as the
 // listeners close is answered before the dispatcher ends.
 func (p *Program) close() {
+	p.logStep(stepDrained)
 	deadline := p.drain.closeConnectionsAt()
 	for _, l := range p.clientListeners() {
 		l.Close(deadline)
@@ -97,10 +116,12 @@
 	for !p.idle() && time.Now().Before(deadline) { // a REST query is bound to no connection
 		time.Sleep(drainCheckInterval)
 	}
+	p.logStep(stepListenersClosed)
 	p.stop()
 	if p.admin != nil {
 		p.admin.Close(deadline)
 	}
+	p.logStep(stepPartsStopped)
 	if p.store != nil {
 		if err := p.store.Close(); err != nil {
 			p.log.Warn("record not closed", "err", err)
@@ -111,4 +132,5 @@
 			p.log.Warn("spool not closed", "err", err)
 		}
 	}
+	p.logStep(stepFilesClosed)
 }
--- a/internal/program/start.go
+++ b/internal/program/start.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"aniseloft/decide"
 	"aniseloft/internal/config"
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/lease"
+	"aniseloft/internal/millis"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/transport/clients"
 	"aniseloft/internal/transport/discovery"
@@ -82,6 +84,7 @@
 	connect, idle := upstreamTimeouts(settings)
 	p.pool = upstream.NewPool(budget.upstream, connect, idle, p.log)
 	settings.MaxInFlight = p.maxInFlight(budget.upstream)
+	p.drain.setLongestDeadline(longestDeadline(settings.Classes))
 	upstreams := upstream.Factory{Pool: p.pool, KindNames: settings.KindNames, RESTKinds: restKinds(rest), User: p.config.Name}
 	p.dispatcher, err = routing.NewDispatcher(settings, p.config.SeedNumber, upstreams, p.log, int(p.memoryFraction(statementMemoryFraction)))
 	if err != nil {
@@ -93,6 +96,14 @@
 	return nil
 }
 
+func longestDeadline(classes []decide.Class) time.Duration {
+	longest := decide.Millis(0)
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return millis.Duration(longest)
+}
+
 // startGossip opens the gossip socket and returns the settings, with gossip off where there is none.
 func (p *Program) startGossip() (decide.Settings, error) {
 	settings := p.config.Settings
