SIGTERM: clients that go on sending no longer keep the process past the kill

Cause: the end waited until nothing had been submitted for 0.3 s, also after the last answers; a short request is admitted until shortly before these, so 0.3 s and the closes came on top. Change: once all open requests have been answered nothing more is taken, and nothing is waited for.

--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -336,3 +336,37 @@
 	require.NoError(t, p.Wait())
 	require.Less(t, time.Since(at), kill)
 }
+
+// Clients use their open connections until the end: a request just before the last answers must not keep the process.
+func TestSIGTERMEndsInTimeWhileClientsGoOnSending(t *testing.T) {
+	t.Parallel()
+	p, e, _ := startWorld(t, false)
+	c := dialClient(t, p.listen)
+	c.send(queryLine(1, "ridership-report", "stay", 20000)) // keeps the connection open
+	eventually(t, func() bool { return e.count(&e.attempts, "stay") == 1 })
+	answered := make(chan int, 1)
+	go func() {
+		n := 0
+		for {
+			if _, err := c.reader.ReadString('\n'); err != nil {
+				answered <- n
+				return
+			}
+			n++
+		}
+	}()
+	at := time.Now()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	sent := 1
+	for ; time.Since(at) < 3700*time.Millisecond; sent++ {
+		line := strings.Replace(queryLine(sent+1, "trip-lookup", "x", 9000), `"work":500`, `"work":1`, 1)
+		if _, err := io.WriteString(c, line+"\n"); err != nil {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.NoError(t, p.Wait())
+	require.Less(t, time.Since(at), 3700*time.Millisecond, "gone before the kill")
+	require.Greater(t, <-answered, 100)
+	require.Greater(t, sent, 100)
+}
--- a/internal/program/shutdown.go
+++ b/internal/program/shutdown.go
@@ -91,13 +91,13 @@
 	return p.dispatcher.OpenRequests() == 0 && (p.rest == nil || p.rest.Live() == 0)
 }
 
-// quiet reports whether no request was submitted for a while and no client is writing one. Once
-// every open request has been answered, writing clients no longer count.
+// quiet reports whether no request was submitted for a while and no client is writing one. Once every open request has
+// been answered nothing more is taken, so that neither counts.
 func (p *Program) quiet() bool {
-	if time.Since(p.dispatcher.LastSubmitted()) < quietFor {
-		return false
+	if time.Since(p.phaseEntered) >= p.drain.answerAllAfter() {
+		return true
 	}
-	return time.Since(p.phaseEntered) >= p.drain.answerAllAfter() || !slices.ContainsFunc(p.clientListeners(), (*listener.Listener).ReceivingMessage)
+	return time.Since(p.dispatcher.LastSubmitted()) >= quietFor && !slices.ContainsFunc(p.clientListeners(), (*listener.Listener).ReceivingMessage)
 }
 
 // leasesReleased reports whether this coordinator's leases are released, or the time for that is over.
