Process tests: two runs of them no longer share loopback addresses

Two runs of cmd/aniseloft's tests at once took their addresses from the same hosts, 127.1.0.1 and so on. A port that is free for one may be taken by the other before its coordinator listens, and with SO_REUSEPORT both then listen there and the kernel spreads the clients of either run over the two. The drills had the same fault, mended in their claimed networks; the tests take theirs from there now.

--- a/cmd/aniseloft/node_test.go
+++ b/cmd/aniseloft/node_test.go
@@ -18,6 +18,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/emulator/loopback"
 )
 
 const settings = `{"balancers":1,"me":0,"tickMs":5,"zone":0,"zones":["hall-a"],"machineTypes":["std-16","rest-16"],
@@ -46,13 +48,16 @@
 
 var lastLoopbackHost atomic.Uint32
 
-// freeAddress is on a loopback address of its own: no test that runs beside it can take the port.
+// claimNetwork claims the loopback network of this run of the tests, until its process ends.
+var claimNetwork = sync.OnceValues(loopback.Claim)
+
+// freeAddress is on a loopback address of its own: no test that runs beside it, in this run or another, can take the port.
 func freeAddress(t *testing.T) string {
-	n := lastLoopbackHost.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", n>>8, n&255))
+	network, err := claimNetwork()
+	require.NoError(t, err)
+	address, err := network.FreeTCPAddress(0, int(lastLoopbackHost.Add(1)))
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // Write collects the log; the program and its reader run at once.
