A priority for an attempt without an endpoint no longer ends the process

Callers would have seen all open requests of a coordinator lost. Cause: setResources starts prioritize for each attempt that has not ended; an attempt whose endpoint is no longer in the table has none, and its end is handled only after the event, so a StartAttempt for such an endpoint and a SetAttemptResources of the same event meet in a nil pointer, on a goroutine of its own. No path in the decisions is known that orders both; forced by TestPriorityOfAnAttemptWithoutAnEndpointIsLeft, which ended the test process before ('invalid memory address or nil pointer dereference').

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -131,7 +131,7 @@
 	}
 	r.grantMB, r.priority = order.GrantMB, order.Priority
 	for _, a := range r.attempts {
-		if !a.ended {
+		if !a.ended && a.endpoint != nil {
 			go d.prioritize(a, r.query.CallID, order.Priority)
 		}
 	}
--- a/internal/routing/request_test.go
+++ b/internal/routing/request_test.go
@@ -149,3 +149,39 @@
 	require.Empty(t, upstream.attempts)
 	require.Zero(t, d.OpenRequests())
 }
+
+// An attempt at an endpoint that is no longer in the table has no client to prioritize it with; one event may order both.
+func TestPriorityOfAnAttemptWithoutAnEndpointIsLeft(t *testing.T) {
+	d, upstream, list := startDispatcher(t, true, 5000)
+	list()
+	recorder, _ := submit(d, "one", idempotentClass, "")
+	attempt := upstream.next(t)
+	d.post(func() {
+		id := onlyRequest(d)
+		d.perform(decide.StartAttempt{ID: id, Endpoint: 99, Timeout: 1000})
+		d.perform(decide.SetAttemptResources{ID: id, GrantMB: 8, Priority: 2})
+	})
+	flush(t, d)
+	attempt.end(decide.OutcomeSucceeded)
+	require.Equal(t, Succeeded, receive(t, recorder.answers).Kind)
+	flush(t, d)
+	require.Zero(t, d.OpenRequests())
+}
+
+// An attempt at an endpoint that is no longer in the table has no client to prioritize it with; one event may order both.
+func TestPriorityOfAnAttemptWithoutAnEndpointIsLeft(t *testing.T) {
+	d, upstream, list := startDispatcher(t, true, 5000)
+	list()
+	recorder, _ := submit(d, "one", idempotentClass, "")
+	attempt := upstream.next(t)
+	d.post(func() {
+		id := onlyRequest(d)
+		d.perform(decide.StartAttempt{ID: id, Endpoint: 99, Timeout: 1000})
+		d.perform(decide.SetAttemptResources{ID: id, GrantMB: 8, Priority: 2})
+	})
+	flush(t, d)
+	attempt.end(decide.OutcomeSucceeded)
+	require.Equal(t, Succeeded, receive(t, recorder.answers).Kind)
+	flush(t, d)
+	require.Zero(t, d.OpenRequests())
+}
