check config names field, expected kind and position of JSON that can't be read

Cause: the decoder's own error was printed. Change: where decoding fails, the standard decoder is asked for the field and the position, and the message is 'limits.cores: a text: a number is needed, at line 2, column 21'. The files of REST and of the log say it alike. Evidence: the new cases of the command's test and of internal/jsonfault failed before, as the messages were others.

--- a/internal/config/coordinator.go
+++ b/internal/config/coordinator.go
@@ -71,7 +71,7 @@
 func ParseCoordinator(raw []byte, override Override) (*Coordinator, []wire.Finding) {
 	var c Coordinator
 	if err := codec.Unmarshal(raw, &c); err != nil {
-		return nil, []wire.Finding{wire.FatalFinding("configuration", "unreadable", err.Error())}
+		return nil, []wire.Finding{wire.DecodingFinding("configuration", raw, new(Coordinator), err)}
 	}
 	c.Name, c.Listen, c.Admin = cmp.Or(override.Name, c.Name), cmp.Or(override.Listen, c.Listen), cmp.Or(override.Admin, c.Admin)
 	findings := append(c.checkRequired(), c.checkAddresses()...)
--- a/internal/config/fielderror.go
+++ b/internal/config/fielderror.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	jsoniter "github.com/json-iterator/go"
+
+	"aniseloft/internal/jsonfault"
 )
 
 // strict rejects unknown fields: a misspelt one would silently have no effect.
@@ -21,3 +23,17 @@
 func (e FieldError) Error() string {
 	return fmt.Sprintf("%s: %s: %s; %s", e.File, e.Pointer, e.Problem, e.Remedy)
 }
+
+// decodingProblem describes what is wrong with a text that could not be decoded into a value of target's type. The decoder's
+// own error, which names types of the program, stands only where the standard decoder finds nothing wrong, as for an
+// unknown field.
+func decodingProblem(raw []byte, target any, decodingError error) string {
+	fault, found := jsonfault.Find(raw, target)
+	switch {
+	case !found:
+		return decodingError.Error()
+	case fault.Field == "":
+		return fmt.Sprintf("%s, at %s", fault.Problem, fault.Position)
+	}
+	return fmt.Sprintf("%s: %s, where %s stands, at %s", fault.Field, fault.Problem, fault.Found, fault.Position)
+}
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -22,11 +22,11 @@
 	Schema     string     `json:"$schema"`           // for editors; not used here
 }
 
-// ParseLog parses the file's content. It returns a FieldError, or the decoder's error wrapped.
+// ParseLog parses the file's content. It returns a FieldError.
 func ParseLog(raw []byte) (Log, error) {
 	var c Log
 	if err := strict.Unmarshal(raw, &c); err != nil {
-		return c, fmt.Errorf("%s: %w; see schema/log.schema.json for the fields and their types", LogFile, err)
+		return c, FieldError{LogFile, "/", decodingProblem(raw, new(Log), err), "see schema/log.schema.json for the fields and their types"}
 	}
 	if c.CountersMS != 0 && c.CountersMS < minCountersMS {
 		return c, FieldError{
--- a/internal/config/rest.go
+++ b/internal/config/rest.go
@@ -40,7 +40,7 @@
 func ParseREST(raw []byte, kinds, classes []string) (REST, error) {
 	var c REST
 	if err := strict.Unmarshal(raw, &c); err != nil {
-		return c, FieldError{RESTFile, "/", err.Error(), "see schema/rest.schema.json for the fields and their types"}
+		return c, FieldError{RESTFile, "/", decodingProblem(raw, new(REST), err), "see schema/rest.schema.json for the fields and their types"}
 	}
 	return c, c.Check(kinds, classes)
 }
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -30,6 +30,8 @@
 		{[]string{"check", "config", writeTestFile(t, "conf.json", `{"listen":"host:8443"}`)}, ExitUsage,
 			"conf.json: listen: host:8443: an address as 127.0.0.1:8443 is needed"},
 		{[]string{"check", "config", writeTestFile(t, "conf.json", `{`)}, ExitUsage, "configuration: unreadable"},
+		{[]string{"check", "config", writeTestFile(t, "conf.json", `{"name":"n0",`+"\n"+`"limits":{"cores":"x"}}`)}, ExitUsage, "limits.cores: a text: a number is needed, at line 2, column 21"},
+		{[]string{"check", "config", writeTestFile(t, "conf.json", `{"settings":{"lanes":5}}`)}, ExitUsage, "settings.lanes: number: a list is needed"},
 		{[]string{"check", "config"}, ExitUsage, "arg(s)"},
 		{[]string{"check", "rest", "/no/such.json"}, ExitUsage, "no such file"},
 		{[]string{"check", "rest", bad, "--config", "/no/such.json"}, ExitUsage, "clas_mb"}, //nolint:misspell // the typing mistake is the case
--- /dev/null
+++ b/internal/jsonfault/jsonfault_test.go
@@ -0,0 +1,42 @@
+package jsonfault_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/jsonfault"
+)
+
+type file struct {
+	Name   string `json:"name"`
+	Limits struct {
+		Cores   float64 `json:"cores"`
+		Sockets int     `json:"sockets"`
+	} `json:"limits"`
+	Peers []string       `json:"peers"`
+	On    bool           `json:"on"`
+	Extra map[string]int `json:"extra"`
+}
+
+// An operator must be told the field, what is expected and where, and no type of the program.
+func TestFaultsNameFieldKindAndPosition(t *testing.T) {
+	for text, want := range map[string]jsonfault.Fault{
+		`{"name":5}`:                        {Field: "name", Found: "number", Problem: "a text is needed", Position: "line 1, column 9"},
+		"{\n \"limits\":{\"cores\":\"x\"}}": {Field: "limits.cores", Found: "a text", Problem: "a number is needed", Position: "line 2, column 22"},
+		`{"limits":{"sockets":1.5}}`:        {Field: "limits.sockets", Found: "number 1.5", Problem: "a whole number is needed", Position: "line 1, column 24"},
+		`{"limits":[]}`:                     {Field: "limits", Found: "a list", Problem: "an object is needed", Position: "line 1, column 11"},
+		`{"peers":"a"}`:                     {Field: "peers", Found: "a text", Problem: "a list is needed", Position: "line 1, column 12"},
+		`{"on":"yes"}`:                      {Field: "on", Found: "a text", Problem: "true or false is needed", Position: "line 1, column 11"},
+		`{"extra":true}`:                    {Field: "extra", Found: "true or false", Problem: "an object is needed", Position: "line 1, column 13"},
+		`{"name":"n0",`:                     {Problem: "no JSON: unexpected end of JSON input", Position: "line 1, column 13"},
+		"{\"name\":\n x}":                   {Problem: "no JSON: invalid character 'x' looking for beginning of value", Position: "line 2, column 2"},
+		``:                                  {Problem: "no JSON: unexpected end of JSON input", Position: "line 1, column 1"},
+	} {
+		got, found := jsonfault.Find([]byte(text), new(file))
+		require.True(t, found, text)
+		require.Equal(t, want, got, text)
+	}
+	_, found := jsonfault.Find([]byte(`{"name":"n0"}`), new(file))
+	require.False(t, found)
+}
--- a/internal/wire/inspect.go
+++ b/internal/wire/inspect.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"aniseloft/decide"
+	"aniseloft/internal/jsonfault"
 )
 
 // Finding is one thing that settings say and the program can't, or won't, follow.
@@ -28,6 +29,20 @@
 	return Finding{field, value, says, "the program does not start", true}
 }
 
+// DecodingFinding is the fatal finding for a text that could not be decoded into a value of target's type: the field, or
+// where the text is no JSON the whole, what is needed there and where that is. The decoder's own error names types of the
+// program; it stands only where the standard decoder finds nothing wrong.
+func DecodingFinding(whole string, raw []byte, target any, decodingError error) Finding {
+	fault, found := jsonfault.Find(raw, target)
+	switch {
+	case !found:
+		return FatalFinding(whole, "unreadable", decodingError.Error())
+	case fault.Field == "":
+		return FatalFinding(whole, "unreadable", fmt.Sprintf("%s, at %s", fault.Problem, fault.Position))
+	}
+	return FatalFinding(fault.Field, fault.Found, fmt.Sprintf("%s, at %s", fault.Problem, fault.Position))
+}
+
 const maxValueBytes = 60 // bytes of a value that a line shows
 
 // Inspect reads settings and tells all that is wrong with them, the fatal things first: with one of
@@ -39,7 +54,9 @@
 	}
 	var found []Finding
 	s, err := Settings(raw)
-	if err != nil {
+	if fault, wrongKind := jsonfault.Find(raw, new(params)); err != nil && wrongKind {
+		found = append(found, FatalFinding("settings."+fault.Field, fault.Found, fmt.Sprintf("%s, at %s of the settings", fault.Problem, fault.Position)))
+	} else if err != nil {
 		found = append(found, FatalFinding("settings", "as given", err.Error()))
 	} else {
 		for _, p := range decide.ValidateSettings(&s) {
