SIGTERM: 0.4 s between the last answers and the kill

Cause: between the answers and the exit lie 0.1 s for the answers' way and 0.1 s for closes that linger and the exit; 0.1 s were left for a process that gets its processor late, of which 38 ms had gone before the first step. Change: the margin is made up of these three, with 0.2 s for the last.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -18,9 +18,9 @@
 
 	maxCountedDeadline = 3 * time.Second
 	killAfterDeadline  = 700 * time.Millisecond
-	// killMargin is what the way of the last answers, the lingering closes and the exit may take, by a
-	// process that gets its processor late.
-	killMargin = 300 * time.Millisecond
+	// killMargin is for the way of the last answers (0.1 s), the lingering closes and the exit (0.1 s),
+	// by a process that gets its processor late (0.2 s).
+	killMargin = 400 * time.Millisecond
 	// AnswerAllAfter is when, after SIGTERM, every open request is answered at the latest: the kill
 	// must not cut an answer off.
 	AnswerAllAfter = maxCountedDeadline + killAfterDeadline - killMargin
