Soak: shutdowns under signals, crowds and faults, with clients that stay until the kill

New checks: the process ends by itself before the kill, its successor starts, and a request that the process has taken is answered before its connection is closed.

--- a/drills/real_test.go
+++ b/drills/real_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -14,6 +15,33 @@
 	"aniseloft/scenarios"
 )
 
+// A request that was taken is answered before its process ends, and the process is gone before the kill: a few seeds of the
+// soak. The long run is started by hand: aniseloftctl drill run soak --seeds 50.
+func TestSoakViolatesNoRule(t *testing.T) {
+	if testing.Short() {
+		t.Skip("half a minute of real processes")
+	}
+	program := filepath.Join(t.TempDir(), "aniseloft")
+	out, err := exec.Command("go", "build", "-o", program, "aniseloft/cmd/aniseloft").CombinedOutput()
+	require.NoError(t, err, string(out))
+	d, err := drills.Load("soak")
+	require.NoError(t, err)
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s, err := scenarios.Load("calm-weekday")
+			require.NoError(t, err)
+			s.Load.PerSecond = 20
+			result, err := drill.RunReal(context.Background(), d, drill.RealOptions{Seed: seed, Directory: testdir.Dir(t), Coordinator: program, Scenario: s})
+			require.NoError(t, err)
+			for _, violation := range result.Violations {
+				t.Errorf("%v %v", violation, violation.Evidence)
+			}
+			t.Logf("service %.3f, faults %q", result.Service, result.Faults)
+		})
+	}
+}
+
 // Five drills of five real processes each run side by side. Only rules are checked, so that the result does not depend on speed.
 func TestRealDrillsViolateNoRule(t *testing.T) {
 	if testing.Short() {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -26,6 +26,7 @@
 	Faults        []Fault  `json:"faults"`
 	RandomFaults  int      `json:"drawn"`              // number of further faults, generated from the seed
 	Scenario      string   `json:"scenario,omitempty"` // of clients and engines, with real processes; empty: none
+	Soak          bool     `json:"soak,omitempty"`     // shutdowns and what crosses them are drawn from the seed
 }
 
 // defaults are the values of fields that a drill file leaves out.
@@ -100,6 +101,9 @@
 	for range d.RandomFaults {
 		faults = append(faults, d.randomFault(rng))
 	}
+	if d.Soak {
+		faults = append(faults, d.soakFaults(rng)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	return faults
 }
--- a/internal/drill/fault.go
+++ b/internal/drill/fault.go
@@ -28,6 +28,10 @@
 	FaultDuplicateName    FaultKind = "twin"       // a second process under the name of Target
 	FaultPauseBeforeWrite FaultKind = "in_the_act" // as FaultPause, between the owner's lease check and its write
 	FaultKillAfterVote    FaultKind = "voted"      // as FaultKill, right after Target has voted for another replica
+	// FaultShutdown is a FaultTerminate with a drawn series of signals and SIGKILL at the page's earliest, while clients go on
+	// using their open connections.
+	FaultShutdown FaultKind = "shutdown"
+	FaultCrowd    FaultKind = "crowd" // crowdConnections that idle, stop half way, or come and go
 )
 
 // Targets of faults, beside the names of processes.
--- a/internal/drill/real.go
+++ b/internal/drill/real.go
@@ -73,6 +73,8 @@
 	injected       []injectedFault
 	faulted        map[int]bool // killed or paused now, by process
 	upgraded       map[int]bool // those that have shut down gracefully, by process
+	unanswered     []unansweredCall
+	notStarted     []Violation
 }
 
 // serviceRoute leads from a process to a service that is not a coordinator.
--- a/internal/drill/real_config.go
+++ b/internal/drill/real_config.go
@@ -82,7 +82,7 @@
 			"listen": r.restAddresses[process], "store": r.recordFile(), "keep_seconds": 60, "purge_every_ms": purgeIntervalMS,
 		},
 	}
-	if r.options.Debug {
+	if r.options.Debug || r.drill.Soak { // a soak judges by what was taken
 		files["log.json"] = map[string]any{"level": "debug"}
 	}
 	for name, content := range files {
--- a/internal/drill/real_faults.go
+++ b/internal/drill/real_faults.go
@@ -55,6 +55,10 @@
 		r.disturbNetwork(target, peer, f, duration)
 	case FaultKill, FaultKillAfterVote, FaultTerminate:
 		r.endProcess(target, f, duration)
+	case FaultShutdown:
+		r.shutDown(target, f)
+	case FaultCrowd:
+		r.rig.Crowd(target, crowdConnections, duration)
 	case FaultKillAll:
 		r.killAll(duration)
 	case FaultPause, FaultPauseBeforeWrite:
@@ -240,6 +244,11 @@
 	time.AfterFunc(downtime, func() { r.restart(process) })
 }
 
+// restartAfter starts a process again once a fault's duration is over.
+func (r *realRun) restartAfter(process int, f Fault) {
+	time.AfterFunc(time.Duration(f.DurationMS*float64(time.Millisecond)), func() { r.restart(process) })
+}
+
 func (r *realRun) setUpgraded(process int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -249,6 +258,9 @@
 func (r *realRun) restart(process int) {
 	if err := r.rig.Start(process); err != nil {
 		r.logFault(fmt.Sprintf("%s does not start: %v", ProcessName(process), err))
+		r.mu.Lock()
+		r.notStarted = append(r.notStarted, Violation{Rule: RuleRequest, Process: ProcessName(process), Detail: "it does not start: " + err.Error()})
+		r.mu.Unlock()
 	}
 	r.setFaulted(process, false)
 }
--- a/internal/drill/real_result.go
+++ b/internal/drill/real_result.go
@@ -29,6 +29,12 @@
 			result.Violations = append(result.Violations, Violation{Rule: RuleRequest, Detail: fmt.Sprintf("%+v", rule)})
 		}
 	}
+	result.Violations = append(result.Violations, r.checkUnanswered()...)
+	r.mu.Lock()
+	if r.drill.Soak { // in other drills a start may fall into the drill's end
+		result.Violations = append(result.Violations, r.notStarted...)
+	}
+	r.mu.Unlock()
 	if r.options.FleetOff {
 		return result, nil
 	}
--- /dev/null
+++ b/internal/drill/soak.go
@@ -0,0 +1,110 @@
+package drill
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"aniseloft/internal/emulator/live"
+)
+
+// A soak's plan: shutdowns, one after another, with something that crosses each.
+const (
+	soakShutdowns       = 3
+	soakFromMS          = 2500
+	soakShutdownEveryMS = 5000
+	soakDowntimeMS      = 300
+	soakCrossingMS      = 1500 // how much sooner than its shutdown something else may begin
+	soakCrowdOneIn      = 4    // runs
+	soakCrowdMS         = 6000
+	crowdConnections    = 1500
+	soakMinPauseMS      = 50
+	soakMaxPauseMS      = 500
+)
+
+// soakFaults draws the plan of a soak from the seed.
+func (d *Drill) soakFaults(rng *rand.Rand) (faults []Fault) {
+	crowd := rng.IntN(soakCrowdOneIn) == 0
+	for i := range soakShutdowns {
+		at := soakFromMS + float64(i)*soakShutdownEveryMS
+		target := ProcessName(rng.IntN(d.Members))
+		faults = append(faults, Fault{Kind: FaultShutdown, AtMS: at, DurationMS: soakDowntimeMS, Target: target})
+		faults = append(faults, d.soakCrossing(rng, at-soakCrossingMS*rng.Float64(), target))
+		if crowd && i == 0 {
+			faults = append(faults, Fault{Kind: FaultCrowd, AtMS: at - soakCrossingMS, DurationMS: soakCrowdMS, Target: target})
+		}
+	}
+	return faults
+}
+
+// soakCrossing draws what happens around a shutdown.
+func (d *Drill) soakCrossing(rng *rand.Rand, atMS float64, target string) Fault {
+	other := ProcessName(rng.IntN(d.Members))
+	f := Fault{AtMS: atMS, DurationMS: soakMinPauseMS + rng.Float64()*(soakMaxPauseMS-soakMinPauseMS), Target: target}
+	switch rng.IntN(6) {
+	case 0:
+		f.Kind, f.Peer, f.Direction, f.DurationMS = FaultPartition, PeerEngines, DirectionInbound, 2*soakCrossingMS
+	case 1:
+		f.Kind, f.Peer, f.Direction, f.DurationMS = FaultPartition, PeerJournal, DirectionBoth, 2*soakCrossingMS
+	case 2:
+		f.Kind, f.Target = FaultPause, other
+	case 3:
+		f.Kind, f.Target, f.Disk = FaultKill, other, DiskIntact
+	case 4:
+		f.Kind, f.Target = FaultSlowDisk, other
+	case 5:
+		f.Kind = FaultResetConnections
+	}
+	return f
+}
+
+// shutDown carries out a FaultShutdown and starts the process again.
+func (r *realRun) shutDown(process int, f Fault) {
+	r.setFaulted(process, true)
+	r.rngMu.Lock()
+	series := live.AllSignalSeries[r.rng.IntN(len(live.AllSignalSeries))]
+	rng := rand.New(rand.NewPCG(r.rng.Uint64(), 1))
+	r.rngMu.Unlock()
+	r.logFault(fmt.Sprintf("%s of %s: %s", f.Kind, ProcessName(process), series))
+	r.rig.Shutdown(process, series, rng, func(call string) { r.addUnanswered(process, call) })
+	r.setUpgraded(process)
+	r.restartAfter(process, f)
+}
+
+// unansweredCall is a request whose connection its coordinator closed without an answer.
+type unansweredCall struct {
+	process int
+	call    string
+}
+
+func (r *realRun) addUnanswered(process int, call string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unanswered = append(r.unanswered, unansweredCall{process, call})
+}
+
+// checkUnanswered finds requests whose connection was closed without an answer although their coordinator had taken them. A
+// request that crosses a close is not taken, and its client sends it again.
+func (r *realRun) checkUnanswered() (violations []Violation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range r.unanswered {
+		lines := linesAbout(r.logs[u.process].bytes(), u.call)
+		if len(lines) > 0 {
+			violations = append(violations, Violation{Rule: RuleRequest, Process: ProcessName(u.process),
+				Detail: "request " + u.call + " was taken, and its connection closed without an answer", Evidence: lines})
+		}
+	}
+	return violations
+}
+
+// linesAbout returns the lines of a debug log that name a call.
+func linesAbout(log []byte, call string) (lines []string) {
+	for line := range bytes.SplitSeq(log, []byte("\n")) {
+		if strings.Contains(string(line), "call="+call) {
+			lines = append(lines, string(line))
+		}
+	}
+	return lines
+}
--- a/internal/drill/virtual_faults.go
+++ b/internal/drill/virtual_faults.go
@@ -48,7 +48,7 @@
 	s.logf("fault: %s (%s)", f, target.name)
 	s.lastFault = f.Kind
 	switch f.Kind {
-	case FaultKill, FaultTerminate:
+	case FaultKill, FaultTerminate, FaultShutdown:
 		target.end(f)
 	case FaultKillAll:
 		s.killAll(f)
@@ -79,6 +79,7 @@
 		for _, p := range s.processes {
 			p.resolver.SendNow(p.clock())
 		}
+	case FaultCrowd: // clients are not simulated
 	case FaultResize:
 		s.resize(f.Replicas)
 	case FaultDuplicateName:
--- a/internal/emulator/live/client_pool.go
+++ b/internal/emulator/live/client_pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -17,6 +18,7 @@
 // clientPool holds the clients' connections to one coordinator. A goroutine for each reads its answers until it closes.
 type clientPool struct {
 	addr        string
+	fixed       bool       // no further connection is opened
 	mu          sync.Mutex // guards connections and their fields
 	connections []*clientConnection
 	readers     sync.WaitGroup
@@ -47,6 +49,18 @@
 	} `json:"error"`
 }
 
+// errNoConnection says that a pool's connections have ended, or have no room.
+var errNoConnection = errors.New("no open connection to the coordinator")
+
+// close closes the connections.
+func (d *clientPool) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.connections {
+		_ = c.Close()
+	}
+}
+
 // connection returns one with room for a request, or a new one. The caller holds mu.
 func (d *clientPool) connection() (*clientConnection, error) {
 	for _, c := range d.connections {
@@ -54,6 +68,9 @@
 			return c, nil
 		}
 	}
+	if d.fixed {
+		return nil, errNoConnection
+	}
 	raw, err := net.DialTimeout("tcp", d.addr, 2*time.Second)
 	if err != nil {
 		return nil, fmt.Errorf("coordinator: %w", err)
@@ -71,6 +88,11 @@
 // send sends a request and calls done with the answer, or with nil when the connection ends. Withdraw cancels the request;
 // done is then called only if an answer was on its way. The error is that of a request that was not sent.
 func (d *clientPool) send(method string, params map[string]any, done answerHandler) (withdraw func(), err error) {
+	return d.sendInPieces(method, params, 0, done)
+}
+
+// sendInPieces is send with a pause in the middle of the message; 0: none.
+func (d *clientPool) sendInPieces(method string, params map[string]any, gap time.Duration, done answerHandler) (withdraw func(), err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c, err := d.connection()
@@ -84,7 +106,14 @@
 		return nil, err
 	}
 	c.pending[id] = done
-	if _, err := c.Write(append(line, '\n')); err != nil {
+	line = append(line, '\n')
+	if gap > 0 {
+		half := len(line) / 2
+		_, _ = c.Write(line[:half]) // an error shows at the second piece too
+		line = line[half:]
+		time.Sleep(gap)
+	}
+	if _, err := c.Write(line); err != nil {
 		delete(c.pending, id)
 		_ = c.Close()
 		return nil, fmt.Errorf("coordinator: %w", err)
