--- a/internal/emulator/engine/share.go
+++ b/internal/emulator/engine/share.go
@@ -2,16 +2,16 @@
 
 import "math"
 
-// updateThroughput finds how fast each lane's threads go. Cores and disks are shared by weighted
+// updateThroughput finds how fast each processor share's threads go. Cores and disks are shared by weighted
 // water-filling: a thread of weight w goes at min(1, level*w) of the engine's speed, and
 // the level rises until cores or disks are all in use. Threads that use no disk go on to
 // rise where only the disks are short.
 func (e *Engine) updateThroughput() {
 	var threads int
 	var disk float64
-	for i := range e.lanes {
-		threads += e.lanes[i].threads
-		disk += e.lanes[i].disk
+	for i := range e.shares {
+		threads += e.shares[i].threads
+		disk += e.shares[i].disk
 	}
 	speed := e.kind.Speed / e.slow / e.paging()
 	if e.stalled {
@@ -25,8 +25,8 @@
 		dry = e.level(cores, false, level)
 	}
 	e.coresIn, e.disksIn = 0, 0
-	for i := range e.lanes {
-		l := &e.lanes[i]
+	for i := range e.shares {
+		l := &e.shares[i]
 		at := dry
 		if l.usesDisks {
 			at = level
@@ -50,11 +50,11 @@
 }
 
 // level is how far the water rises until a resource is all in use. With fixed above 0,
-// lanes that use disks stay at that level and only the others rise.
+// shares that use disks stay at that level and only the others rise.
 func (e *Engine) level(room float64, disks bool, fixed float64) float64 {
 	var rising [4]float64
-	for i := range e.lanes {
-		l := &e.lanes[i]
+	for i := range e.shares {
+		l := &e.shares[i]
 		use := l.cpu
 		if disks {
 			use = l.disk
