--- a/internal/drill/soak.go
+++ b/internal/drill/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"time"
 
 	"aniseloft/internal/emulator/live"
 )
@@ -21,6 +22,8 @@
 	crowdConnections    = 1500
 	soakMinPauseMS      = 50
 	soakMaxPauseMS      = 500
+	soakStartOneIn      = 3 // shutdowns are followed by one during the start
+	soakMaxStart        = 60 * time.Millisecond
 )
 
 // soakFaults draws the plan of a soak from the seed.
@@ -65,13 +68,25 @@
 	r.rngMu.Lock()
 	series := live.AllSignalSeries[r.rng.IntN(len(live.AllSignalSeries))]
 	rng := rand.New(rand.NewPCG(r.rng.Uint64(), 1))
+	startFirst := r.rng.IntN(soakStartOneIn) == 0
 	r.rngMu.Unlock()
 	r.logFault(fmt.Sprintf("%s of %s: %s", f.Kind, ProcessName(process), series))
 	r.rig.Shutdown(process, series, rng, func(call string) { r.addUnanswered(process, call) })
 	r.setUpgraded(process)
+	if startFirst {
+		r.terminateDuringStart(process, time.Duration(rng.Int64N(int64(soakMaxStart))))
+	}
 	r.restartAfter(process, f)
 }
 
+// terminateDuringStart starts a process only to end it at once.
+func (r *realRun) terminateDuringStart(process int, after time.Duration) {
+	r.logFault(fmt.Sprintf("SIGTERM %v after a start of %s", after, ProcessName(process)))
+	if err := r.rig.TerminateDuringStart(process, after); err != nil {
+		r.logFault(err.Error())
+	}
+}
+
 // unansweredCall is a request whose connection its coordinator closed without an answer.
 type unansweredCall struct {
 	process int
--- a/internal/emulator/live/shutdown.go
+++ b/internal/emulator/live/shutdown.go
@@ -69,14 +69,36 @@
 		d.frontProxy.SetAlive(n, false)
 	})
 	r.signalsBeforeTerm(n, series)
-	d.terminateAndKill(p, func() { r.signalsAfterTerm(n, series) })
+	d.terminateAndKill(p, func() { r.signalsAfterTerm(n, series) }, noSignal)
 	close(stop)
 	<-stopped
 	d.judge.with(func(o *observer.Observer) { o.CoordinatorStarted(n) })
 }
 
-// terminateAndKill sends SIGTERM, what comes after it, and SIGKILL at the page's earliest.
-func (d *Rehearsal) terminateAndKill(p *coordinator, afterTerm func()) {
+// TerminateDuringStart starts a coordinator that is down and sends it SIGTERM so soon that it may not serve yet. It must be gone
+// before the kill, as from any other time; SIGTERM may end it before it can heed the signal.
+func (r *Controller) TerminateDuringStart(n int, after time.Duration) error {
+	d := r.rehearsal
+	p := d.coordinators[n]
+	if !d.isDown(p) {
+		return nil
+	}
+	if err := d.startCoordinator(p); err != nil {
+		return err
+	}
+	d.note("coordinator %d is told to end %v after its start", n, after)
+	time.Sleep(after)
+	d.terminateAndKill(p, func() {}, syscall.SIGTERM)
+	d.judge.with(func(o *observer.Observer) { o.CoordinatorStarted(n) })
+	return nil
+}
+
+// noSignal stands where no signal may end a process.
+const noSignal = syscall.Signal(-1)
+
+// terminateAndKill sends SIGTERM, what comes after it, and SIGKILL at the page's earliest. A process that ends otherwise than
+// by itself with exit code 0, or by the allowed signal, violates the rule of one answer.
+func (d *Rehearsal) terminateAndKill(p *coordinator, afterTerm func(), allowed syscall.Signal) {
 	d.mu.Lock()
 	cmd, ended := p.cmd, p.ended
 	p.down = true
@@ -90,7 +112,7 @@
 		_ = cmd.Process.Signal(syscall.SIGKILL)
 		<-ended
 	}
-	if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); ok && (status.Signaled() || status.ExitStatus() != 0) {
+	if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); ok && (status.Signaled() && status.Signal() != allowed || status.ExitStatus() > 0) {
 		d.judge.with(func(o *observer.Observer) {
 			o.Violate(observer.RuleOneAnswer, d.clock.Now(), "coordinator %d: %v, %v after SIGTERM", p.index, cmd.ProcessState, time.Since(at).Round(time.Millisecond))
 		})
