--- a/internal/emulator/live/persistent_client.go
+++ b/internal/emulator/live/persistent_client.go
@@ -24,12 +24,22 @@
 const (
 	persistentConnections = 4
 	persistentInterval    = 10 * time.Millisecond // between two actions
-	persistentWorkMS      = 5.0
-	persistentClass       = 0
 	pipelinedRequests     = 3
 	pieceGap              = 20 * time.Millisecond
 )
 
+// queryShape is what kind of query a persistent client sends.
+type queryShape struct {
+	class  int
+	workMS float64
+}
+
+// The shapes: look-ups, and a report that outlives each shutdown.
+var (
+	shortQuery = queryShape{class: 0, workMS: 5}
+	longQuery  = queryShape{class: 1, workMS: 60000}
+)
+
 // firstPersistentNumber is above the numbers of all queries of a scenario.
 const firstPersistentNumber = 1 << 40
 
@@ -53,6 +63,9 @@
 
 // run uses the connections until stop is closed, then waits for the answers that are still due and closes what is open.
 func (c *persistentClient) run(stop <-chan struct{}) {
+	if len(c.pools) > 0 {
+		c.request(c.pools[0], longQuery, 0)
+	}
 	ticker := time.NewTicker(persistentInterval)
 	defer ticker.Stop()
 	for {
@@ -76,30 +89,30 @@
 	switch c.rand.IntN(8) {
 	case 0:
 		for range pipelinedRequests {
-			c.request(pool, 0)
+			c.request(pool, shortQuery, 0)
 		}
 	case 1:
-		c.request(pool, pieceGap)
+		c.request(pool, shortQuery, pieceGap)
 	case 2:
-		if withdraw := c.request(pool, 0); withdraw != nil {
+		if withdraw := c.request(pool, shortQuery, 0); withdraw != nil {
 			withdraw()
 		}
 	default:
-		c.request(pool, 0)
+		c.request(pool, shortQuery, 0)
 	}
 }
 
-// request sends a short look-up, in two pieces where gap is not 0, and returns what cancels it; nil: it was not sent.
-func (c *persistentClient) request(pool *clientPool, gap time.Duration) (withdraw func()) {
+// request sends a query, in two pieces where gap is not 0, and returns what cancels it; nil: it was not sent.
+func (c *persistentClient) request(pool *clientPool, shape queryShape, gap time.Duration) (withdraw func()) {
 	d := c.rehearsal
 	now := d.clock.Now()
-	class := d.scenario.Classes[persistentClass]
+	class := d.scenario.Classes[shape.class]
 	number := firstPersistentNumber + lastPersistentNumber.Add(1)
-	cl := &client{rehearsal: d, tries: 1, query: scenario.Query{Number: int(number), Class: persistentClass, DataSet: 1,
-		Work: persistentWorkMS, EstimatedWork: persistentWorkMS, NeedMB: class.MemoryMB, EstimatedMB: class.MemoryMB}}
+	cl := &client{rehearsal: d, tries: 1, query: scenario.Query{Number: int(number), Class: shape.class, DataSet: 1,
+		Work: shape.workMS, EstimatedWork: shape.workMS, NeedMB: class.MemoryMB, EstimatedMB: class.MemoryMB}}
 	until := now + class.DeadlineMS
 	t := &try{client: cl, id: cl.tryID(), attempt: &attempt{query: cl.query, coordinator: c.coordinator,
-		request: &observer.Request{Name: "persistent request " + cl.tryID(), Class: persistentClass, Key: cl.query.DataSet, Until: until}}}
+		request: &observer.Request{Name: "persistent request " + cl.tryID(), Class: shape.class, Key: cl.query.DataSet, Until: until}}}
 	d.requestSent(now, t)
 	c.requests.Add(1)
 	end := sync.OnceFunc(c.requests.Done)
--- a/internal/emulator/observer/observer.go
+++ b/internal/emulator/observer/observer.go
@@ -184,7 +184,7 @@
 	}
 	delete(o.unanswered, r)
 	o.checkAnswer(at, r, kind)
-	r.sentAt = slices.DeleteFunc(r.sentAt, func(sentAt float64) bool { return sentAt >= r.closedAt }) // found already
+	r.sentAt = slices.DeleteFunc(r.sentAt, func(sentAt float64) bool { return sentAt >= r.closedAt+o.departureSlack(r) }) // found already
 	r.closedAt, r.closedBy = at, closedByAnswer
 	o.checkSentBeforeClose(r)
 }
@@ -231,12 +231,23 @@
 // was no longer owed.
 func (o *Observer) checkSentBeforeClose(r *Request) {
 	for _, sentAt := range r.sentAt {
-		if sentAt > r.closedAt && !r.excused {
+		if sentAt > r.closedAt+o.departureSlack(r) && !r.excused {
 			o.violateSentAfterClose(sentAt, r)
 		}
 	}
 }
 
+// departureSlackMS is how long after a client has left, by the page, an attempt may still begin on real sockets: its close or
+// cancellation is on its way.
+const departureSlackMS = 100.0
+
+func (o *Observer) departureSlack(r *Request) float64 {
+	if r.closedBy == closedByDisconnect && o.timeSlackMS > 0 {
+		return departureSlackMS
+	}
+	return 0
+}
+
 func (o *Observer) violateSentAfterClose(sentAt float64, r *Request) {
 	o.Violate(RuleOneAnswer, sentAt, "%s: sent %.3f ms after %s, at %.3f ms", r.Name, sentAt-r.closedAt, r.closedBy, r.closedAt)
 }
@@ -261,7 +272,7 @@
 		o.checkRetryBudget(at, coord, r)
 	}
 	r.sentAt = append(r.sentAt, at)
-	if r.closed && !r.excused && at >= r.closedAt {
+	if r.closed && !r.excused && at >= r.closedAt+o.departureSlack(r) {
 		o.violateSentAfterClose(at, r)
 	}
 	if r.sends > o.scenario.Coordinators.MaxAttempts {
