A crowd that goes on connecting no longer keeps a listener from closing

Seen by callers: a coordinator that was told to end in a crowd was still there at its kill, and what it had open was lost.

Cause: while all places are taken the accept loop waits for one for each connection, and extends the acceptance by 5 ms each time, as more may have reached the backlog meanwhile. A crowd that goes on connecting keeps it there without end, and Close waits for it; the cut-off at the deadline closed the connections of that moment once and went on accepting. Change: from the cut-off on nothing is accepted, what waits for a place is closed, and the connections' context ends.

--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -49,6 +49,8 @@
 	counts  struct{ accepted, evicted, drained, rejectedInDrain atomic.Int64 }
 	// stopping is set once no more connections are to be accepted but what the backlog holds.
 	stopping atomic.Bool
+	// cutOff is set once nothing more is served at all: what waits for a place is closed.
+	cutOff atomic.Bool
 
 	mu    sync.Mutex         // guards conns; taken before a connection's own
 	conns map[*Conn]struct{} // those within the limit
@@ -102,15 +104,19 @@
 	}
 }
 
-// admit waits for a place for an accepted connection and serves it.
+// admit waits for a place for an accepted connection and serves it. After the cut-off it closes it.
 func (l *Listener) admit(c net.Conn) {
 	waited := false
 	for !l.makePlace() {
+		if l.cutOff.Load() {
+			_ = c.Close()
+			return
+		}
 		waited = true
 		time.Sleep(acceptRetryInterval)
 	}
 	l.ServeConn(c)
-	if waited && l.stopping.Load() { // more may have reached the backlog meanwhile
+	if waited && l.stopping.Load() && !l.cutOff.Load() { // more may have reached the backlog meanwhile
 		l.StopAccepting()
 	}
 }
@@ -187,7 +193,7 @@
 // connection once nothing is open on it, and returns when all have ended. What is still open at the
 // deadline is cut off.
 func (l *Listener) Close(deadline time.Time) {
-	cutOff := time.AfterFunc(time.Until(deadline), l.closeConns)
+	cutOff := time.AfterFunc(time.Until(deadline), l.cutAllOff)
 	defer cutOff.Stop()
 	l.StopAccepting()
 	<-l.ended
@@ -195,7 +201,12 @@
 	l.active.Wait()
 }
 
-func (l *Listener) closeConns() {
+// cutAllOff closes all connections and accepts no more: a crowd that goes on connecting would keep the backlog filled, and
+// the process alive, for as long as it comes.
+func (l *Listener) cutAllOff() {
+	l.cutOff.Store(true)
+	_ = l.tcp.Close()
+	l.cancel()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
--- a/internal/transport/listener/listener_test.go
+++ b/internal/transport/listener/listener_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"aniseloft/internal/transport/netconn"
 	"aniseloft/internal/transport/transporttest"
 )
 
@@ -110,6 +112,45 @@
 	require.NotContains(t, l.conns, slow)
 }
 
+// A crowd that goes on connecting while the listener closes must not keep it from ending: the process would be there at its
+// kill.
+func TestCloseEndsInACrowd(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 2, slog.New(slog.DiscardHandler), func(ctx context.Context, c *Conn) {
+		_, _, _ = c.ReadMessages(ctx, netconn.New(c, netconn.SmallBuffer), time.Hour, nil)
+	})
+	require.NoError(t, err)
+	go l.Run()
+	stop := make(chan struct{})
+	var crowd sync.WaitGroup
+	for range 50 {
+		crowd.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.DialTimeout("tcp4", l.Addr().String(), time.Second); err == nil {
+					time.Sleep(20 * time.Millisecond)
+					_ = c.Close()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	closed := make(chan time.Duration, 1)
+	at := time.Now()
+	go func() {
+		l.Close(at.Add(100 * time.Millisecond))
+		closed <- time.Since(at)
+	}()
+	took := transporttest.Receive(t, closed)
+	close(stop)
+	crowd.Wait()
+	require.Less(t, took, 2*time.Second)
+}
+
 // Operators' programs parse the line of counters.
 func TestListenerCountersKeepTheirForm(t *testing.T) {
 	l := newListener(t, 4, func(context.Context, *Conn) {})
