Soak: the proxy's late finding of a resume does not bring an ended coordinator back

The platform sends none after 0.4 s; the rehearsal's front proxy did, as it found a resume, up to 3.4 s late, of a process that had been told to end meanwhile. It looks now whether the process is up.

--- a/internal/emulator/live/controller.go
+++ b/internal/emulator/live/controller.go
@@ -85,7 +85,8 @@
 	if r.signal(n, syscall.SIGCONT) {
 		r.rehearsal.note("coordinator %d goes on", n)
 		r.setPaused(n, false)
-		r.rehearsal.afterDetection(func() { r.rehearsal.frontProxy.SetAlive(n, true) })
+		// It may have been told to end, or have been killed, before the proxy finds it alive again.
+		r.rehearsal.afterDetection(func() { r.rehearsal.frontProxy.SetAlive(n, !r.rehearsal.isDown(r.rehearsal.coordinators[n])) })
 	}
 }
 
