SIGTERM: without a successor connections are accepted for 0.9 s, not until the end

Cause: the platform sends new connections for 0.4 s after SIGTERM; the program went on taking a crowd's for the whole 3.3 s, and had hundreds to close at the end. Change: it stops accepting at 0.9 s, when it may end at the earliest.

--- a/internal/program/shutdown.go
+++ b/internal/program/shutdown.go
@@ -42,7 +42,8 @@
 // terminate starts the graceful shutdown after SIGTERM: clients are sent away, and every open request
 // is answered before the process may be killed. Where another process of this coordinator runs, no
 // connection is accepted any more: an upgrade's successor listens at the clients' address. Without
-// one, connections are accepted as long as the platform sends them.
+// one, connections are accepted until minDrain, longer than the platform sends them; a crowd that
+// goes on connecting finds no listener then.
 func (p *Program) terminate() {
 	if p.Phase() != Serving { // a second signal changes nothing
 		return
@@ -56,16 +57,22 @@
 	})
 	p.wakeListeners()
 	if p.instance.othersRunning() {
-		for _, l := range p.clientListeners() {
-			l.StopAccepting()
-		}
+		p.stopAccepting()
 		p.log.Info("a successor serves at the clients' address: no new connections here")
+	} else {
+		time.AfterFunc(minDrain, p.stopAccepting)
 	}
 	if p.fleet != nil {
 		p.fleet.Drain()
 	}
 }
 
+func (p *Program) stopAccepting() {
+	for _, l := range p.clientListeners() {
+		l.StopAccepting()
+	}
+}
+
 func (p *Program) clientListeners() []*listener.Listener {
 	if p.restClients == nil {
 		return []*listener.Listener{p.clients}
