An answer waits for the first byte of an attempt that is being written

Seen by callers and engines: an engine worked for a request that had been answered, and after 'it did not run' for one that then ran.

Cause: an attempt asks StillReady and then writes; between the two the dispatcher may give the answer. Nothing ordered them. Change: a gate for each request. An attempt passes it right before its first byte and says when the byte is written; the final answer closes it, and where a byte is just being written the answer goes once it is. Neither side blocks. Evidence: TestAnswerWaitsForTheFirstByteThatIsBeingWritten (the answer went at once before; written against the new call). Both clients of engines use it; probes and cancellations start nothing.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -99,6 +99,7 @@
 			}
 			return order.StartBefore == 0 || millis.Now() < order.StartBefore
 		},
+		BeginSend: r.gate.begin,
 	}
 	if spec.Sink != nil {
 		spec.Sink = &progressSink{ResultSink: spec.Sink, report: func() { spec.OnProgress(decide.ProgressPage, 0) }}
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -16,8 +16,8 @@
 type request struct {
 	Ticket
 	query     Query
-	responder Responder   // nil once the request is answered or withdrawn
-	answered  atomic.Bool // read by attempts before their first byte
+	responder Responder // nil once the request is answered or withdrawn
+	gate      sendGate  // closed with the final answer
 	timer     *time.Timer
 	grantMB   float64
 	priority  int // -1: not set
@@ -32,7 +32,7 @@
 func (r *request) closed() bool { return r.responder == nil }
 
 // mayStart reports whether an attempt of the request may start. Attempts call it from their own goroutines.
-func (r *request) mayStart() bool { return !r.clientLeft.Load() && !r.answered.Load() }
+func (r *request) mayStart() bool { return !r.clientLeft.Load() && !r.gate.isClosed() }
 
 // mayHaveRun reports whether any attempt of the request may have run at its endpoint.
 func (r *request) mayHaveRun() bool {
@@ -152,12 +152,15 @@
 		return
 	}
 	responder := r.responder
-	r.answered.Store(true) // an attempt that is still dialling must not start
 	d.Counters.answered(r.query.Class, answer.Kind)
 	d.log.Debug("request answered", "call", r.query.CallID, "class", r.query.Class, "kind", answer.Kind.String(),
 		"attempts", len(r.attempts), "reason", answer.Reason)
 	d.close(r)
-	responder.Respond(answer)
+	// An attempt that is still dialling must not start; one whose first byte is being written comes before the answer.
+	respond := func() { responder.Respond(answer) }
+	if r.gate.close(func() { d.post(respond) }) {
+		respond()
+	}
 	d.releaseFollowers(r, answer)
 }
 
--- a/internal/routing/request_test.go
+++ b/internal/routing/request_test.go
@@ -168,3 +168,26 @@
 	require.Zero(t, d.OpenRequests())
 	d.prioritize(&attempt{}, "one", 2) // as its goroutine does, which may outlive the test
 }
+
+// An attempt asks whether it may start and then writes: an answer that comes in between must not go before its first byte,
+// and none may begin after an answer.
+func TestAnswerWaitsForTheFirstByteThatIsBeingWritten(t *testing.T) {
+	d, upstream, list := startDispatcher(t, true, 5000)
+	list()
+	recorder, _ := submit(d, "one", idempotentClass, "")
+	running := upstream.next(t)
+	sent, ok := running.BeginSend()
+	require.True(t, ok)
+	d.AnswerAllOpen(50 * time.Millisecond)
+	flush(t, d)
+	require.Empty(t, recorder.answers, "its first byte is being written")
+	_, ok = running.BeginSend()
+	require.False(t, ok, "no other begins")
+	sent()
+	sent()
+	require.Equal(t, Rejected, receive(t, recorder.answers).Kind)
+	running.end(decide.OutcomeCancelled)
+	flush(t, d)
+	require.Empty(t, recorder.answers)
+	require.Zero(t, d.OpenRequests())
+}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -25,6 +25,10 @@
 	// StillReady reports, just before the first byte is written, whether the attempt may still
 	// start: the endpoint may have begun to drain while the connection was dialled.
 	StillReady func() bool
+	// BeginSend is called right before the first byte is written. Where it returns false the attempt must not start: its request
+	// has been answered. Else sent must be called as soon as the byte is written, or is known not to be: an answer waits for it.
+	// Nil: nothing is to be ordered.
+	BeginSend func() (sent func(), ok bool)
 }
 
 // Result is the outcome of an attempt.
--- a/internal/transport/upstream/engineclient.go
+++ b/internal/transport/upstream/engineclient.go
@@ -37,10 +37,15 @@
 	if notSent != nil {
 		return *notSent
 	}
+	sent, notSent := e.beginSend(a, c)
+	if notSent != nil {
+		return *notSent
+	}
+	defer sent()
 	deadline, _ := ctx.Deadline()
 	q := engine.NewQuery(e.addr, engine.StartRequest{CallID: a.CallID, Class: a.Class, Statement: a.Statement,
 		TimeoutMS: max(time.Until(deadline).Milliseconds(), 1), GrantMB: int64(math.Ceil(a.GrantMB)), Priority: a.Priority, IdempotencyKey: a.IdempotencyKey})
-	res, lastCall, err := e.converse(ctx, c, q, a.OnProgress)
+	res, lastCall, err := e.converse(ctx, c, q, a.OnProgress, sent)
 	if res != nil && err == nil {
 		return e.result(res)
 	}
@@ -66,6 +71,20 @@
 	return c, nil
 }
 
+// beginSend asks once more, right before the first byte, whether the attempt may start; the result is set where it may not.
+// sent is to be called once the byte is written, or won't be; further calls do nothing.
+func (e *engineClient) beginSend(a routing.AttemptSpec, c *pooledConn) (sent func(), notSent *routing.Result) {
+	if a.BeginSend == nil {
+		return func() {}, nil
+	}
+	sent, ok := a.BeginSend()
+	if !ok {
+		e.conns.put(c)
+		return nil, &routing.Result{Outcome: decide.OutcomeNotSent, Reason: "answered as the first byte went"}
+	}
+	return sent, nil
+}
+
 // connectFailure is the result of an attempt without a connection: nothing ran.
 func connectFailure(ctx context.Context, err error) routing.Result {
 	switch {
@@ -80,10 +99,10 @@
 // converse feeds the query's state machine until it ends. What is lost or corrupted on the way is
 // fetched again on a fresh connection: that starts nothing, so it is safe for loads too. lastCall is when
 // the endpoint was last called for the query. Where ctx ends between two calls, result and error are nil.
-func (e *engineClient) converse(ctx context.Context, c *pooledConn, q *engine.Query, onProgress func(decide.ProgressKind, float64)) (res *engine.Result, lastCall time.Time, err error) {
+func (e *engineClient) converse(ctx context.Context, c *pooledConn, q *engine.Query, onProgress func(decide.ProgressKind, float64), written func()) (res *engine.Result, lastCall time.Time, err error) {
 	out := q.EncodeStart()
 	for lost := 0; ; {
-		step, answered, err := e.exchange(ctx, c, q, out, onProgress, &lastCall)
+		step, answered, err := e.exchange(ctx, c, q, out, onProgress, &lastCall, written)
 		if answered {
 			lost = 0
 		}
@@ -106,11 +125,11 @@
 
 // exchange makes calls on one connection until the query ends or needs another, and hands the
 // connection back. answered reports whether any answer was valid.
-func (e *engineClient) exchange(ctx context.Context, c *pooledConn, q *engine.Query, out []byte, onProgress func(decide.ProgressKind, float64), lastCall *time.Time) (step engine.Step, answered bool, err error) {
+func (e *engineClient) exchange(ctx context.Context, c *pooledConn, q *engine.Query, out []byte, onProgress func(decide.ProgressKind, float64), lastCall *time.Time, written func()) (step engine.Step, answered bool, err error) {
 	e.conns.use(ctx, c, func() (reusable bool) {
 		for step.Result == nil && !step.NeedsNewConnection && err == nil {
 			*lastCall = time.Now()
-			step, err = call(ctx, c, q, out)
+			step, err = call(ctx, c, q, out, written)
 			answered = answered || err == nil
 			out = step.Send
 			if n := step.Progress; err == nil && n != nil {
@@ -130,10 +149,12 @@
 	engine.ProgressWaiting: decide.ProgressWaiting,
 }
 
-// call writes one call and reads its answer, which must be complete within answerTimeout.
-func call(ctx context.Context, c *pooledConn, q *engine.Query, out []byte) (engine.Step, error) {
+// call writes one call, tells that it is written and reads its answer, which must be complete within answerTimeout.
+func call(ctx context.Context, c *pooledConn, q *engine.Query, out []byte, written func()) (engine.Step, error) {
 	deadline := time.Now().Add(answerTimeout)
-	if err := c.Write(ctx, out, deadline); err != nil {
+	err := c.Write(ctx, out, deadline)
+	written()
+	if err != nil {
 		return engine.Step{}, fmt.Errorf("write: %w", err)
 	}
 	for {
--- a/internal/transport/upstream/restclient.go
+++ b/internal/transport/upstream/restclient.go
@@ -37,9 +37,14 @@
 			return routing.Result{Outcome: decide.OutcomeNotSent, Reason: err.Error()}
 		}
 	}
+	sent, notSent := r.beginSend(a, c)
+	if notSent != nil {
+		return *notSent
+	}
+	defer sent()
 	q := rest.NewUpstreamQuery(r.addr, rest.StartRequest{CallID: a.CallID, Class: a.Class, User: r.user, Statement: a.Statement, Timeout: a.Timeout, IdempotencyKey: a.IdempotencyKey,
 		Stream: a.Sink != nil})
-	res, err := r.converse(ctx, c, q, a.Sink)
+	res, err := r.converse(ctx, c, q, a.Sink, sent)
 	if res != nil {
 		return routing.Result{Outcome: restOutcomes[res.Outcome], Body: res.Body, Streamed: a.Sink != nil, ActualWork: res.ActualWorkMS,
 			ActualMemoryMB: res.ActualMemoryMB, Reason: res.Reason}
@@ -71,10 +76,10 @@
 
 // converse is engineClient.converse for this protocol, where nothing can be polled before the
 // first answer has named an address.
-func (r *restClient) converse(ctx context.Context, c *pooledConn, q *rest.UpstreamQuery, sink routing.ResultSink) (*rest.Result, error) {
+func (r *restClient) converse(ctx context.Context, c *pooledConn, q *rest.UpstreamQuery, sink routing.ResultSink, written func()) (*rest.Result, error) {
 	out := q.EncodeStart()
 	for lost := 0; ; {
-		step, answered, err := r.exchange(ctx, c, q, out, sink)
+		step, answered, err := r.exchange(ctx, c, q, out, sink, written)
 		if answered {
 			lost = 0
 		}
@@ -102,13 +107,13 @@
 
 // exchange makes calls on one connection until the query ends or needs another, and hands the
 // connection back. answered reports whether any answer was valid.
-func (r *restClient) exchange(ctx context.Context, c *pooledConn, q *rest.UpstreamQuery, out []byte, sink routing.ResultSink) (step rest.Step, answered bool, err error) {
+func (r *restClient) exchange(ctx context.Context, c *pooledConn, q *rest.UpstreamQuery, out []byte, sink routing.ResultSink, written func()) (step rest.Step, answered bool, err error) {
 	r.conns.use(ctx, c, func() (reusable bool) {
 		for deadline := time.Now().Add(restAnswerTimeout); step.Result == nil && !step.NeedsNewConnection && err == nil; {
 			if len(out) > 0 {
 				deadline = time.Now().Add(restAnswerTimeout)
 			}
-			step, err = restCall(ctx, c, q, out, deadline)
+			step, err = restCall(ctx, c, q, out, deadline, written)
 			if err == nil && len(step.Page) > 0 {
 				if serr := sink.WritePage(ctx, step.Page); serr != nil {
 					step.Result, err = nil, fmt.Errorf("%w: %w", errResultSink, serr)
@@ -122,10 +127,12 @@
 	return step, answered, err
 }
 
-// restCall writes a call, if there is one, and feeds what a read brings to the query.
-func restCall(ctx context.Context, c *pooledConn, q *rest.UpstreamQuery, out []byte, deadline time.Time) (rest.Step, error) {
+// restCall writes a call, if there is one, tells that it is written, and feeds what a read brings to the query.
+func restCall(ctx context.Context, c *pooledConn, q *rest.UpstreamQuery, out []byte, deadline time.Time, written func()) (rest.Step, error) {
 	if len(out) > 0 {
-		if err := c.Write(ctx, out, deadline); err != nil {
+		err := c.Write(ctx, out, deadline)
+		written()
+		if err != nil {
 			return rest.Step{}, err
 		}
 	}
