Read once more: settings are diagnosed only after an error, one way to restart after a fault

Cause: Inspect decoded the settings a second time at each start, to describe an error that was not there; the message of a JSON fault was put together in three places; endProcess had its own copy of restartAfter. Change: the diagnosis stands behind the error, Fault.Message is the one form, both ends of a process restart by restartAfter. Behaviour and messages as before.

--- a/internal/config/fielderror.go
+++ b/internal/config/fielderror.go
@@ -33,7 +33,7 @@
 	case !found:
 		return decodingError.Error()
 	case fault.Field == "":
-		return fmt.Sprintf("%s, at %s", fault.Problem, fault.Position)
+		return fault.Message()
 	}
 	return fmt.Sprintf("%s: %s, where %s stands, at %s", fault.Field, fault.Problem, fault.Found, fault.Position)
 }
--- a/internal/drill/real_faults.go
+++ b/internal/drill/real_faults.go
@@ -56,7 +56,7 @@
 	case FaultKill, FaultKillAfterVote, FaultTerminate:
 		r.endProcess(target, f, duration)
 	case FaultShutdown:
-		r.shutDown(target, f)
+		r.shutDown(target, duration)
 	case FaultCrowd:
 		r.rig.Crowd(target, crowdConnections, duration)
 	case FaultKillAll:
@@ -241,12 +241,12 @@
 		r.rig.Kill(process)
 	}
 	damageDirectory(r.disk(process), backup, f.Disk)
-	time.AfterFunc(downtime, func() { r.restart(process) })
+	r.restartAfter(process, downtime)
 }
 
-// restartAfter starts a process again once a fault's duration is over.
-func (r *realRun) restartAfter(process int, f Fault) {
-	time.AfterFunc(time.Duration(f.DurationMS*float64(time.Millisecond)), func() { r.restart(process) })
+// restartAfter starts a process again after a downtime.
+func (r *realRun) restartAfter(process int, downtime time.Duration) {
+	time.AfterFunc(downtime, func() { r.restart(process) })
 }
 
 func (r *realRun) setUpgraded(process int) {
--- a/internal/drill/soak.go
+++ b/internal/drill/soak.go
@@ -62,21 +62,21 @@
 	return f
 }
 
-// shutDown carries out a FaultShutdown and starts the process again.
-func (r *realRun) shutDown(process int, f Fault) {
+// shutDown carries out a FaultShutdown and starts the process again after a downtime.
+func (r *realRun) shutDown(process int, downtime time.Duration) {
 	r.setFaulted(process, true)
 	r.rngMu.Lock()
 	series := live.AllSignalSeries[r.rng.IntN(len(live.AllSignalSeries))]
 	rng := rand.New(rand.NewPCG(r.rng.Uint64(), 1))
 	startFirst := r.rng.IntN(soakStartOneIn) == 0
 	r.rngMu.Unlock()
-	r.logFault(fmt.Sprintf("%s of %s: %s", f.Kind, ProcessName(process), series))
+	r.logFault(fmt.Sprintf("%s of %s: %s", FaultShutdown, ProcessName(process), series))
 	r.rig.Shutdown(process, series, rng, func(call string) { r.addUnanswered(process, call) })
 	r.setUpgraded(process)
 	if startFirst {
 		r.terminateDuringStart(process, time.Duration(rng.Int64N(int64(soakMaxStart))))
 	}
-	r.restartAfter(process, f)
+	r.restartAfter(process, downtime)
 }
 
 // terminateDuringStart starts a process only to end it at once.
--- a/internal/jsonfault/jsonfault.go
+++ b/internal/jsonfault/jsonfault.go
@@ -19,6 +19,9 @@
 	Position string // line and column, from 1
 }
 
+// Message says what is wrong and where.
+func (f Fault) Message() string { return f.Problem + ", at " + f.Position }
+
 // Find decodes a text into target as the standard decoder does, and returns what is wrong with it; false: nothing is. The
 // target's content is of no use after that.
 func Find(raw []byte, target any) (fault Fault, found bool) {
--- a/internal/wire/inspect.go
+++ b/internal/wire/inspect.go
@@ -38,9 +38,18 @@
 	case !found:
 		return FatalFinding(whole, "unreadable", decodingError.Error())
 	case fault.Field == "":
-		return FatalFinding(whole, "unreadable", fmt.Sprintf("%s, at %s", fault.Problem, fault.Position))
+		return FatalFinding(whole, "unreadable", fault.Message())
 	}
-	return FatalFinding(fault.Field, fault.Found, fmt.Sprintf("%s, at %s", fault.Problem, fault.Position))
+	return FatalFinding(fault.Field, fault.Found, fault.Message())
+}
+
+// undecodedSettings is the fatal finding for settings that are JSON and can't be used: a value of the wrong kind, or else what
+// the decoder says of it.
+func undecodedSettings(raw []byte, decodingError error) Finding {
+	if fault, found := jsonfault.Find(raw, new(params)); found {
+		return FatalFinding("settings."+fault.Field, fault.Found, fault.Message()+" of the settings")
+	}
+	return FatalFinding("settings", "as given", decodingError.Error())
 }
 
 const maxValueBytes = 60 // bytes of a value that a line shows
@@ -54,10 +63,8 @@
 	}
 	var found []Finding
 	s, err := Settings(raw)
-	if fault, wrongKind := jsonfault.Find(raw, new(params)); err != nil && wrongKind {
-		found = append(found, FatalFinding("settings."+fault.Field, fault.Found, fmt.Sprintf("%s, at %s of the settings", fault.Problem, fault.Position)))
-	} else if err != nil {
-		found = append(found, FatalFinding("settings", "as given", err.Error()))
+	if err != nil {
+		found = append(found, undecodedSettings(raw, err))
 	} else {
 		for _, p := range decide.ValidateSettings(&s) {
 			path := pathOfSetting(p.Field)
