Review case 2: a client is served with another client's rows

Cause: on the platform's protocol a second copy of a 202, 5 ms late, makes the coordinator poll twice. The answer to the second poll is still due when the query ends, and the connection goes back to the pool. If the engine stands still for 250 ms, the next query on that connection gets those rows. A load is then answered as served, nobody polls for it, and the engine gives it up unfinished after 2 s.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,7 +31,8 @@
 type caseFunc func(e *environment, trouble bool) (broken int, err error)
 
 var cases = map[string]caseFunc{
-	"load-twice": loadTwice,
+	"load-twice":   loadTwice,
+	"foreign-rows": foreignRows,
 }
 
 func main() {
