Review case 3: slow readers cost other clients their open requests

Cause: the budget for unread answers is one for all clients. While others have used it up, a connection with one answer queued is closed at its next answer, whether its client reads or not.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]caseFunc{
 	"load-twice":   loadTwice,
 	"foreign-rows": foreignRows,
+	"slow-readers": slowReaders,
 }
 
 func main() {
