Engine client: a polled connection is synchronized before another query uses it

Cause: all answers 202 are alike. A second copy of one, 5 ms late, is taken for the answer to the next poll, which is then made again; one more answer is due on the connection when the query ends. It came within the 50 ms for which a connection rests, unless the engine stalled just then; then the next query's POST was on the connection and got the earlier query's rows.

Change: where a 202 was read on a connection and no numbered page after it, a call that is answered unlike any poll (PUT of the ended query's priority, 204) is written after a good result; its answer is read when the connection is to be reused. Engines answer in the order of the calls, so a 204 as the next bytes shows that nothing else is due; anything else, or nothing yet, drops the connection. After a failed query it is dropped at once, as a late PUT could meet a retry of the call there. The engine that the program's tests talk to answered a PUT like a page; it answers 204 now, as the protocol page says.

--- a/cmd/aniseloft/engine_test.go
+++ b/cmd/aniseloft/engine_test.go
@@ -147,6 +147,8 @@
 		e.mu.Unlock()
 		e.countStop(statement)
 		w.WriteHeader(204)
+	case r.Method == "PUT":
+		w.WriteHeader(204)
 	case strings.Contains(statement, "fail"):
 		e.countStop(statement)
 		w.WriteHeader(500)
--- a/internal/protocol/engine/query.go
+++ b/internal/protocol/engine/query.go
@@ -68,6 +68,7 @@
 	Send               []byte    // request to be written next on this connection
 	Result             *Result   // set when the query has ended
 	KeepConnection     bool      // set with Result: the connection can carry another request
+	SyncCall           []byte    // with KeepConnection: to be written first; the connection must not be used until it is answered, see IsSyncAnswer
 	NeedsNewConnection bool      // the request of EncodeResume is to be sent on a new connection
 	Progress           *Progress // progress of a query that is still running
 	InvalidProgress    bool      // the response had a progress that cannot be used
@@ -89,6 +90,7 @@
 	state        state
 	parser       *httpmsg.Parser
 	acknowledged bool   // the engine has responded that the query runs
+	answerDue    bool   // an answer may still be due on the connection, see accept
 	pageCount    int    // number of pages of the result
 	nextPage     int    // number of the page to request next
 	result       Result // the result as received so far
@@ -121,7 +123,7 @@
 // EncodeResume returns the request that repeats the last one on a new connection. This is safe: a query is
 // not bound to a connection, and a request for a page starts nothing.
 func (q *Query) EncodeResume() []byte {
-	q.parser = httpmsg.NewResponseParser(maxBodyBytes)
+	q.parser, q.answerDue = httpmsg.NewResponseParser(maxBodyBytes), false
 	if q.state == stateStarting {
 		q.state = stateRunning
 	}
@@ -152,7 +154,7 @@
 	}
 	if result != nil {
 		q.state = stateEnded
-		return Step{Result: result, KeepConnection: reusable}, nil
+		return q.lastStep(result, reusable), nil
 	}
 	step := Step{NeedsNewConnection: !reusable}
 	if reusable {
@@ -164,6 +166,20 @@
 	return step, nil
 }
 
+// lastStep returns the step that ends the query.
+func (q *Query) lastStep(result *Result, reusable bool) Step {
+	step := Step{Result: result, KeepConnection: reusable}
+	if !q.answerDue {
+		return step
+	}
+	// After a failure the call may be attempted again at this engine, which a late SyncCall must not concern.
+	step.KeepConnection = reusable && result.Outcome == OutcomeSucceeded
+	if step.KeepConnection {
+		step.SyncCall = q.encodeSync()
+	}
+	return step
+}
+
 // handleResponse handles a complete response and the bytes received after it. The result is nil while the query runs or
 // there are more pages to request.
 func (q *Query) handleResponse(m *httpmsg.Message, trailing []byte) (*Result, error) {
@@ -174,7 +190,7 @@
 	neverRan := m.Header.Get(headerNeverRan) == "1"
 	switch {
 	case m.Status == 202:
-		q.state, q.acknowledged = stateRunning, true
+		q.accept()
 		return nil, nil
 	case m.Status == 200:
 		return q.handleFirstPage(m, trailing)
@@ -190,6 +206,12 @@
 	return nil, fmt.Errorf("%w: status %d", ErrCorruptResponse, m.Status)
 }
 
+// accept handles the answer that the query runs. All such answers are alike, so a duplicate of one would be taken for the
+// answer to the next poll. The poll would then be repeated, and its answer would be due on the connection after the end.
+func (q *Query) accept() {
+	q.state, q.acknowledged, q.answerDue = stateRunning, true, true
+}
+
 func (q *Query) handleFirstPage(m *httpmsg.Message, trailing []byte) (*Result, error) {
 	pageCount, err := strconv.Atoi(strings.TrimSpace(m.Header.Get(headerPageCount)))
 	if err != nil || pageCount < 0 || pageCount > maxPages {
@@ -209,6 +231,7 @@
 	if m.Status != 200 || strings.TrimSpace(m.Header.Get(headerPageNumber)) != strconv.Itoa(q.nextPage) {
 		return nil, fmt.Errorf("%w: not page %d", ErrCorruptResponse, q.nextPage)
 	}
+	q.answerDue = false // only the latest call asked for this page, and answers come in the order of the calls
 	return q.appendPage(m, trailing)
 }
 
--- /dev/null
+++ b/internal/transport/upstream/duplicate_test.go
@@ -0,0 +1,170 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/decide"
+	"aniseloft/internal/transport/netconn"
+	"aniseloft/internal/transport/transporttest"
+)
+
+// Guards against serving a client with another client's rows: the engine sends a 202 twice, so the second 202 is taken for the
+// answer to a poll and the poll is repeated; the answer to that repeated poll arrives when the next query uses the connection.
+func TestAnswerToRepeatedPollIsNotTheNextQueryResult(t *testing.T) {
+	addr := stallingEngine(t, func(call string, answer func(message string), awaitCall func()) {
+		rows := call + "\tb\tc\n"
+		result := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Batches: 1\r\nContent-Length: %d\r\n\r\n%s", len(rows), rows)
+		if call == "first" {
+			accepted := "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+			answer(accepted)
+			awaitCall()
+			answer(accepted) // the duplicate
+			awaitCall()
+		}
+		answer(result)
+	})
+	client := &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}
+	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
+	defer cancel()
+	require.Equal(t, "first\tb\tc\n", string(client.Run(ctx, attempt("first")).Body))
+	ageIdleConns(client.conns)
+	require.Equal(t, "second\tb\tc\n", string(client.Run(ctx, attempt("second")).Body))
+}
+
+// A connection is reused after a query that was polled once the engine has answered the call that follows the query, and is
+// dropped while it has not.
+func TestPolledConnectionIsReusedOnceSynchronized(t *testing.T) {
+	for _, answersSyncCall := range []bool{true, false} {
+		ended := make(chan struct{})
+		client := fakeEngine(t, func(method string, w http.ResponseWriter, _ *http.Request) {
+			switch method {
+			case "POST":
+				w.WriteHeader(http.StatusAccepted)
+			case "PUT":
+				if !answersSyncCall {
+					<-ended
+				}
+				w.WriteHeader(http.StatusNoContent)
+			default:
+				w.Header().Set("X-Batches", "1")
+				_, _ = io.WriteString(w, "a\tb\tc\n")
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
+		defer cancel()
+		require.Equal(t, decide.OutcomeSucceeded, client.Run(ctx, attempt("first")).Outcome)
+		if answersSyncCall {
+			require.Eventually(t, func() bool { return netconn.HasUnread(client.conns.idleConns[0].Raw()) }, transporttest.WaitTimeout, time.Millisecond)
+		}
+		ageIdleConns(client.conns)
+		require.Equal(t, decide.OutcomeSucceeded, client.Run(ctx, attempt("second")).Outcome)
+		counts := &client.conns.pool.counts
+		require.Equal(t, answersSyncCall, counts.reused.Load() == 1)
+		require.Equal(t, !answersSyncCall, counts.stale.Load() == 1)
+		close(ended)
+	}
+}
+
+func newTestPool() *Pool {
+	return NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
+}
+
+// ageIdleConns makes idle connections look as if they had been idle for long enough to be reused.
+func ageIdleConns(e *endpointPool) {
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	for _, c := range e.idleConns {
+		c.idleSince = time.Now().Add(-2 * minIdleTime)
+	}
+}
+
+// queryScript answers one query. awaitCall reads a further call on the query's connection.
+type queryScript func(call string, answer func(message string), awaitCall func())
+
+// stallingEngine starts an engine that answers queries by a script. It sends its last answer to the query "first" once more,
+// as if to a further call, but stalls before that until another query has arrived on any connection.
+func stallingEngine(t *testing.T, script queryScript) (addr string) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	e := &stallingServer{script: script, otherQueryArrived: make(chan struct{})}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+type stallingServer struct {
+	script            queryScript
+	noteOtherQuery    sync.Once
+	otherQueryArrived chan struct{} // closed once a query other than "first" has arrived
+}
+
+func (e *stallingServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	awaitCall := func() { _, _ = readCall(r) }
+	var lastAnswer string
+	answer := func(message string) {
+		lastAnswer = message
+		_, _ = io.WriteString(c, message)
+	}
+	for {
+		call, err := readCall(r)
+		if err != nil {
+			return
+		}
+		if call != "first" {
+			e.reportOtherQuery()
+		}
+		e.script(call, answer, awaitCall)
+		if call == "first" {
+			e.stall(r)
+			answer(lastAnswer)
+			time.Sleep(time.Millisecond) // lets it arrive before the answer to a query on the same connection
+		}
+	}
+}
+
+func (e *stallingServer) reportOtherQuery() {
+	e.noteOtherQuery.Do(func() { close(e.otherQueryArrived) })
+}
+
+// stall waits until another query has arrived on any connection, and until the next call on this one has arrived or it has ended.
+func (e *stallingServer) stall(r *bufio.Reader) {
+	if _, err := r.Peek(1); err == nil {
+		e.reportOtherQuery()
+	}
+	<-e.otherQueryArrived
+}
+
+// readCall reads one call, and returns the id of the query that it concerns.
+func readCall(r *bufio.Reader) (call string, err error) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	if request.Method == "POST" {
+		return request.Header.Get("Request-Id") + request.Header.Get("X-Trino-Trace-Token"), nil
+	}
+	return strings.Split(request.URL.Path, "/")[2], nil
+}
--- a/internal/transport/upstream/endpointpool.go
+++ b/internal/transport/upstream/endpointpool.go
@@ -74,7 +74,7 @@
 		switch {
 		case time.Since(c.idleSince) >= e.pool.maxIdleTime:
 			e.pool.counts.expired.Add(1)
-		case !netconn.IsReusable(c.Raw()):
+		case !c.isReusable():
 			e.pool.counts.stale.Add(1)
 		default:
 			e.pool.counts.reused.Add(1)
--- a/internal/transport/upstream/engineclient.go
+++ b/internal/transport/upstream/engineclient.go
@@ -140,11 +140,21 @@
 				e.conns.recordViolation(&e.conns.pool.invalidProgress, "note")
 			}
 		}
-		return step.KeepConnection
+		return step.KeepConnection && writeSyncCall(ctx, c, step.SyncCall)
 	})
 	return step, anyAnswered, err
 }
 
+// writeSyncCall writes the SyncCall of a query's last step, if there is one. Its answer is read once the connection is to be
+// reused, as the query's result must not wait for it.
+func writeSyncCall(ctx context.Context, c *pooledConn, syncCall []byte) (written bool) {
+	if len(syncCall) == 0 {
+		return true
+	}
+	c.syncPending = true
+	return c.Write(ctx, syncCall, time.Now().Add(answerTimeout)) == nil
+}
+
 // progressKindOf maps the kinds of progress of the protocol to those of the decisions.
 var progressKindOf = map[engine.ProgressKind]decide.ProgressKind{
 	engine.ProgressRatio:   decide.ProgressRatio,
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/transport/netconn"
 	"aniseloft/internal/transport/violations"
 )
@@ -20,7 +22,26 @@
 // pooledConn is a connection to an endpoint. It is owned by one call or, while idle, by the pool.
 type pooledConn struct {
 	*netconn.Conn
-	idleSince time.Time // end of the latest call
+	idleSince   time.Time // end of the latest call
+	syncPending bool      // an engine.Step's SyncCall was written, and its answer has not been read
+}
+
+// isReusable reports whether an idle connection can carry another call: it is open, and no answer is due on it.
+func (c *pooledConn) isReusable() bool {
+	if c.syncPending && !c.readSyncAnswer() {
+		return false
+	}
+	return netconn.IsReusable(c.Raw())
+}
+
+// readSyncAnswer reports whether the answer to the SyncCall has arrived, and nothing else before it. It does not wait.
+func (c *pooledConn) readSyncAnswer() bool {
+	if !netconn.HasUnread(c.Raw()) {
+		return false
+	}
+	b, err := c.Read(context.Background(), time.Now().Add(protocolSlack))
+	c.syncPending = false
+	return err == nil && engine.IsSyncAnswer(b)
 }
 
 // Pool holds the connections to all endpoints within a budget of descriptors. It is safe for
