REST engine client: an answer to an earlier query no longer ends the next one

Cause: a second copy of a query's first answer names the page that was just requested, as does the answer that the page is not there yet. It was taken for that, the page was requested again, and one more answer was due when the query had ended. After a stall of the engine it was read as the answer to the next query's POST: QUERY_QUEUE_FULL, which proves that a query never ran, but of the earlier query. Its id was not compared, so the load was sent to another engine, and ran at both.

Change: where an answer named the page that was just requested, the connection is dropped at the query's end; engines that name a new page in each answer, as public ones do, keep theirs. An answer whose id is not that of the query's first is asked for again on a new connection. The REST engine of the program's tests named its queries by another id in later answers, which no engine of this protocol does; it keeps the id now.

Tests of transport/upstream, protocol/rest and cmd/aniseloft pass.

--- a/cmd/aniseloft/rest_engine_test.go
+++ b/cmd/aniseloft/rest_engine_test.go
@@ -28,7 +28,8 @@
 		return
 	}
 	pathParts := strings.Split(r.URL.Path, "/")
-	v, ok := statementByID.Load(pathParts[4])
+	id := pathParts[4]
+	v, ok := statementByID.Load(id)
 	if !ok {
 		w.WriteHeader(404)
 		return
@@ -44,14 +45,14 @@
 		w.WriteHeader(204)
 	case strings.Contains(s, "fail"):
 		e.countStop(s)
-		_, _ = io.WriteString(w, `{"id":"x","error":{"message":"no","errorName":"GENERIC_INTERNAL_ERROR"},"stats":{"state":"FAILED"}}`)
+		_, _ = fmt.Fprintf(w, `{"id":%q,"error":{"message":"no","errorName":"GENERIC_INTERNAL_ERROR"},"stats":{"state":"FAILED"}}`, id)
 	case e.stays(s):
-		_, _ = fmt.Fprintf(w, `{"id":"x","nextUri":"http://%s%s","stats":{"state":"RUNNING"}}`, r.Host, r.URL.Path)
+		_, _ = fmt.Fprintf(w, `{"id":%q,"nextUri":"http://%s%s","stats":{"state":"RUNNING"}}`, id, r.Host, r.URL.Path)
 	default:
 		rows := pagesOf(s)
 		next := ""
 		if page+1 < len(rows) {
-			next = fmt.Sprintf(`"nextUri":"http://%s/v1/statement/executing/%s/s/%d",`, r.Host, pathParts[4], page+1)
+			next = fmt.Sprintf(`"nextUri":"http://%s/v1/statement/executing/%s/s/%d",`, r.Host, id, page+1)
 		} else {
 			e.countStop(s)
 		}
@@ -60,6 +61,6 @@
 			split = append(split, strings.Split(row, "\t"))
 		}
 		data, _ := json.Marshal(split)
-		e.writePage(w, s, pathParts[4], page, fmt.Sprintf(`{"id":"x",%s"data":%s,"stats":{"state":"RUNNING","cpuTimeMillis":500,"peakMemoryBytes":4194304}}`, next, data))
+		e.writePage(w, s, id, page, fmt.Sprintf(`{"id":%q,%s"data":%s,"stats":{"state":"RUNNING","cpuTimeMillis":500,"peakMemoryBytes":4194304}}`, id, next, data))
 	}
 }
--- a/internal/protocol/rest/upstream.go
+++ b/internal/protocol/rest/upstream.go
@@ -67,7 +67,9 @@
 	host          string
 	start         StartRequest
 	parser        *httpmsg.Parser
+	id            string  // the engine's ID of the query; empty until the first response
 	nextPath      string  // path of the last page request; empty until the first response
+	answerDue     bool    // an answer may still be due on the connection, see advance
 	responseCount int     // number of responses with a next URI
 	body          []byte  // rows received so far; empty for a stream
 	latestPage    []byte  // rows of the latest page of a stream, for the Step that Feed returns
@@ -98,7 +100,7 @@
 	if q.nextPath == "" {
 		return nil
 	}
-	q.parser = httpmsg.NewResponseParser(httpmsg.MaxBodyBytes)
+	q.parser, q.answerDue = httpmsg.NewResponseParser(httpmsg.MaxBodyBytes), false
 	return q.encodeNext()
 }
 
@@ -136,7 +138,7 @@
 	case err != nil:
 		return Step{}, err
 	case result != nil:
-		return Step{Result: result, Page: q.latestPage, KeepConnection: reusable}, nil
+		return Step{Result: result, Page: q.latestPage, KeepConnection: reusable && !q.answerDue}, nil
 	case !reusable:
 		return Step{NeedsNewConnection: true, Page: q.latestPage}, nil
 	}
@@ -167,6 +169,9 @@
 	if err := codec.Unmarshal(m.Body, &r); err != nil || r.ID == "" {
 		return nil, fmt.Errorf("%w: invalid JSON or no query id", errCorruptResponse)
 	}
+	if q.id = cmp.Or(q.id, r.ID); r.ID != q.id {
+		return nil, fmt.Errorf("%w: the response to another query", errCorruptResponse)
+	}
 	if r.Error != nil {
 		if r.Error.ErrorName == ErrorRejected.ErrorName {
 			return q.end(OutcomeOverloaded, r.Error.ErrorName), nil
@@ -190,7 +195,7 @@
 	}
 	q.workMS = max(q.workMS, r.Stats.WorkMS)
 	q.memoryMB = max(q.memoryMB, r.Stats.MemoryBytes/(1<<20))
-	q.nextPath = nextPath
+	q.advance(nextPath)
 	if q.start.Stream {
 		q.latestPage = page
 	} else {
@@ -206,6 +211,16 @@
 	return nil, nil
 }
 
+// advance sets the path to request next, which is empty after the last page. A response that names the path that was just
+// requested says that the page is not there yet. It looks like a duplicate of the response before it, after which one more
+// response than the query needs would be due on the connection.
+func (q *UpstreamQuery) advance(nextPath string) {
+	if nextPath != "" && nextPath == q.nextPath {
+		q.answerDue = true
+	}
+	q.nextPath = nextPath
+}
+
 func (q *UpstreamQuery) end(o Outcome, reason string) *Result {
 	return &Result{o, q.body, q.workMS, q.memoryMB, reason}
 }
--- a/internal/transport/upstream/duplicate_test.go
+++ b/internal/transport/upstream/duplicate_test.go
@@ -43,6 +43,35 @@
 	require.Equal(t, "second\tb\tc\n", string(client.Run(ctx, attempt("second")).Body))
 }
 
+// Guards against a load that runs at two engines: as above, and the late answer says that the earlier query never ran, which was
+// read as that the load never ran.
+func TestAnswerToRepeatedPollDoesNotRejectTheNextRESTQuery(t *testing.T) {
+	addr := stallingEngine(t, func(call string, answer func(string), awaitCall func()) {
+		if call == "first" {
+			queued := restAnswer(`{"id":"q-first","nextUri":"http://e/v1/statement/queued/q-first/1","stats":{"state":"QUEUED"}}`)
+			answer(queued)
+			awaitCall()
+			answer(queued) // the duplicate
+			awaitCall()
+			answer(restAnswer(`{"id":"q-first","error":{"message":"m","errorName":"QUERY_QUEUE_FULL"},"stats":{"state":"FAILED"}}`))
+			return
+		}
+		answer(restAnswer(`{"id":"q-second","data":[["second","b","c"]],"stats":{"state":"FINISHED"}}`))
+	})
+	client := &restClient{engineClient: &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}}
+	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
+	defer cancel()
+	require.Equal(t, decide.OutcomeOverloaded, client.Run(ctx, attempt("first")).Outcome)
+	ageIdleConns(client.conns)
+	result := client.Run(ctx, attempt("second"))
+	require.Equal(t, decide.OutcomeSucceeded, result.Outcome)
+	require.Equal(t, "second\tb\tc\n", string(result.Body))
+}
+
+func restAnswer(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // A connection is reused after a query that was polled once the engine has answered the call that follows the query, and is
 // dropped while it has not.
 func TestPolledConnectionIsReusedOnceSynchronized(t *testing.T) {
