REST engine client: a page that comes a second time is not taken for the next one

Cause: the engine sends a page a second time some ms late, when the next one has been requested. An answer was not compared with the page that was asked for, so its rows were appended again.

Change: each answer must name a page that was not requested before. One that names an earlier page, or with rows the page that was just requested, is a copy, and the page is requested again on a new connection, as after other damage. The paths requested are kept as hashes.

--- a/cmd/aniseloft/damage_test.go
+++ b/cmd/aniseloft/damage_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // writePage sends a page or, on the first request for it, the damaged answer that its statement names.
@@ -46,6 +47,10 @@
 	switch kind {
 	case "copy":
 		_, _ = io.WriteString(c, good+good)
+	case "latecopy":
+		_, _ = io.WriteString(c, good)
+		time.Sleep(8 * time.Millisecond) // the client has requested the next page by then
+		_, _ = io.WriteString(c, good)
 	case "noise":
 		_, _ = io.WriteString(c, good+"\x00\x17 noise")
 	case "shorter":
--- a/cmd/aniseloft/jsonrpc_test.go
+++ b/cmd/aniseloft/jsonrpc_test.go
@@ -218,7 +218,7 @@
 	close(e.release)
 }
 
-var damageKinds = []string{"interim", "copy", "noise", "shorter", "boundary", "cut", "stopped", "replaced", "head", "misnumbered", "endless", "huge", "reset", "never"}
+var damageKinds = []string{"interim", "copy", "latecopy", "noise", "shorter", "boundary", "cut", "stopped", "replaced", "head", "misnumbered", "endless", "huge", "reset", "never"}
 
 // Guards against failing a query for one damaged answer, and against reading the bytes behind a good answer as the next
 // page. Requesting a page again starts nothing, so it is done for loads too.
--- a/cmd/aniseloft/rest_test.go
+++ b/cmd/aniseloft/rest_test.go
@@ -179,10 +179,11 @@
 	j.add(true, serverEntry(1, e, "active"))
 	p := startCoordinator(t, testdir.Dir(t), j, true)
 	c := dialClient(t, p.clientAddr)
-	for i, kind := range []string{"interim", "copy", "noise", "shorter", "cut", "stopped", "replaced", "head", "endless", "huge", "reset"} {
+	kinds := []string{"interim", "copy", "latecopy", "noise", "shorter", "cut", "stopped", "replaced", "head", "endless", "huge", "reset"}
+	for i, kind := range kinds {
 		c.send(queryLine(i+1, "timetable-load", fmt.Sprintf("insert into sales_%d.x -- rows 2 spoil %s", i, kind), 9500))
 	}
-	for range 11 {
+	for range kinds {
 		require.Equal(t, strings.Join(pagesOf("rows 2"), ""), answerText(t, c.readLine()))
 	}
 }
--- a/internal/protocol/rest/duplicate_test.go
+++ b/internal/protocol/rest/duplicate_test.go
@@ -11,6 +11,8 @@
 const (
 	queuedResponse  = `{"id":"q","nextUri":"http://e/v1/statement/q/1","stats":{"state":"QUEUED"}}`
 	runningResponse = `{"id":"q","nextUri":"http://e/v1/statement/q/2","stats":{"state":"RUNNING"}}`
+	firstRows       = `{"id":"q","nextUri":"http://e/v1/statement/q/2","data":[["a","b","c"]],"stats":{"state":"RUNNING"}}`
+	secondRows      = `{"id":"q","nextUri":"http://e/v1/statement/q/3","data":[["d","e","f"]],"stats":{"state":"RUNNING"}}`
 	lastResponse    = `{"id":"q","data":[["g","h","i"]],"stats":{"state":"FINISHED"}}`
 )
 
@@ -53,3 +55,23 @@
 	require.ErrorIs(t, err, errCorruptResponse)
 	require.Contains(t, string(q.EncodeResume()), "GET /v1/statement/q/1 ")
 }
+
+// Guards against rows that come twice in a result: a duplicate of an earlier page is not the requested one, which is requested
+// again.
+func TestDuplicateOfEarlierPageIsCorrupt(t *testing.T) {
+	for name, responses := range map[string][]string{
+		"the page before":        {queuedResponse, firstRows, secondRows, secondRows},
+		"an earlier page":        {queuedResponse, firstRows, secondRows, firstRows},
+		"the first response":     {queuedResponse, firstRows, secondRows, queuedResponse},
+		"after a repeated poll":  {queuedResponse, queuedResponse, firstRows, secondRows, secondRows},
+		"after a page to come":   {queuedResponse, firstRows, runningResponse, secondRows, secondRows},
+		"a page before the last": {queuedResponse, queuedResponse, queuedResponse, firstRows, secondRows, firstRows},
+	} {
+		q, _, err := feedAll(t, responses...)
+		require.ErrorIs(t, err, errCorruptResponse, name)
+		require.Contains(t, string(q.EncodeResume()), "GET /v1/statement/q/3 ", name)
+		step, err := q.Feed(httpmsg.AppendResponse(nil, 200, "OK", nil, []byte(lastResponse)))
+		require.NoError(t, err, name)
+		require.Equal(t, "a\tb\tc\nd\te\tf\ng\th\ti\n", string(step.Result.Body), name)
+	}
+}
--- a/internal/protocol/rest/upstream.go
+++ b/internal/protocol/rest/upstream.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/protocol/httpmsg"
 )
@@ -67,19 +69,20 @@
 	host          string
 	start         StartRequest
 	parser        *httpmsg.Parser
-	id            string  // the engine's ID of the query; empty until the first response
-	nextPath      string  // path of the last page request; empty until the first response
-	answerDue     bool    // an answer may still be due on the connection, see advance
-	responseCount int     // number of responses with a next URI
-	body          []byte  // rows received so far; empty for a stream
-	latestPage    []byte  // rows of the latest page of a stream, for the Step that Feed returns
-	workMS        float64 // largest CPU time reported so far
-	memoryMB      float64 // largest peak memory reported so far
+	id            string              // the engine's ID of the query; empty until the first response
+	nextPath      string              // path of the last page request; empty until the first response
+	requested     map[uint64]struct{} // hashes of all paths requested so far
+	answerDue     bool                // an answer may still be due on the connection, see advance
+	responseCount int                 // number of responses with a next URI
+	body          []byte              // rows received so far; empty for a stream
+	latestPage    []byte              // rows of the latest page of a stream, for the Step that Feed returns
+	workMS        float64             // largest CPU time reported so far
+	memoryMB      float64             // largest peak memory reported so far
 }
 
 // NewUpstreamQuery returns a query that has not been sent.
 func NewUpstreamQuery(host string, s StartRequest) *UpstreamQuery {
-	return &UpstreamQuery{host: host, start: s, parser: httpmsg.NewResponseParser(httpmsg.MaxBodyBytes)}
+	return &UpstreamQuery{host: host, start: s, parser: httpmsg.NewResponseParser(httpmsg.MaxBodyBytes), requested: map[uint64]struct{}{}}
 }
 
 // EncodeStart returns the request that starts the query.
@@ -182,6 +185,13 @@
 }
 
 func (q *UpstreamQuery) handlePage(r *upstreamResults) (*Result, error) {
+	nextPath, err := pathOf(r.NextURI)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errCorruptResponse, err)
+	}
+	if err := q.advance(nextPath, len(r.Data) > 0); err != nil {
+		return nil, err
+	}
 	page, ok := encodeRows(r.Data)
 	if !ok {
 		return q.end(OutcomeFailed, "a value cannot be encoded in a row of text"), nil
@@ -189,13 +199,8 @@
 	if !q.start.Stream && len(q.body)+len(page) > engine.MaxResultBytes {
 		return q.end(OutcomeFailed, "result too large"), nil
 	}
-	nextPath, err := pathOf(r.NextURI)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errCorruptResponse, err)
-	}
 	q.workMS = max(q.workMS, r.Stats.WorkMS)
 	q.memoryMB = max(q.memoryMB, r.Stats.MemoryBytes/(1<<20))
-	q.advance(nextPath)
 	if q.start.Stream {
 		q.latestPage = page
 	} else {
@@ -211,14 +216,23 @@
 	return nil, nil
 }
 
-// advance sets the path to request next, which is empty after the last page. A response that names the path that was just
-// requested says that the page is not there yet. It looks like a duplicate of the response before it, after which one more
-// response than the query needs would be due on the connection.
-func (q *UpstreamQuery) advance(nextPath string) {
-	if nextPath != "" && nextPath == q.nextPath {
+// advance sets the path to request next, which is empty after the last page. A response must name a new path: one that names
+// a path requested earlier is a duplicate of the response that first named it, and its rows have been received. Only a
+// response without rows may name the path that was just requested, as the page may not be there yet. It looks like a
+// duplicate all the same, after which one more response than the query needs would be due on the connection.
+func (q *UpstreamQuery) advance(nextPath string, hasRows bool) error {
+	if nextPath == q.nextPath && nextPath != "" && !hasRows {
 		q.answerDue = true
+		return nil
+	}
+	if _, requested := q.requested[xxhash.Sum64String(nextPath)]; requested {
+		return fmt.Errorf("%w: a duplicate of the response that named %s", errCorruptResponse, nextPath)
+	}
+	if nextPath != "" {
+		q.requested[xxhash.Sum64String(nextPath)] = struct{}{}
 	}
 	q.nextPath = nextPath
+	return nil
 }
 
 func (q *UpstreamQuery) end(o Outcome, reason string) *Result {
