Engine clients: a copy that comes after the rest is not the next call's answer

Cause: a connection rests 50 ms between two queries, so that a copy of an answer comes while it is unused. An engine that stalls between an answer and its copy sends the copy up to 390 ms later; on a reused connection it was read as the answer to the next call, since answers do not name their call.

Change: a connection keeps a hash of its last result's first page (platform's protocol) or its last query's id (paged REST). An equal result is polled for again on a new connection; an answer with that id is skipped, as the query's own follows it. Connections are dropped after ends without rows, which are all alike. Statuses that only polls get are no answer to a DELETE or PUT, which is made again on a new connection. A load under a client's key at a REST engine gets a new connection, as the engine may answer it under the earlier id.

--- a/internal/protocol/engine/query.go
+++ b/internal/protocol/engine/query.go
@@ -51,6 +51,8 @@
 	GrantMB        int64  // memory granted to the query, in MB; 0: not sent
 	Priority       int    // -1: not sent, the engine chooses it
 	IdempotencyKey string // empty: none
+	// PreviousResult is the digest of the result read last on the connection on which the query is to be started; 0: none.
+	PreviousResult ResultDigest
 }
 
 // Result is the outcome of a query, with the data received for it.
@@ -89,10 +91,11 @@
 	start        StartRequest
 	state        state
 	parser       *httpmsg.Parser
-	acknowledged bool   // the engine has responded that the query runs
-	answerDue    bool   // an answer may still be due on the connection, see accept
-	pageCount    int    // number of pages of the result
-	nextPage     int    // number of the page to request next
+	acknowledged bool // the engine has responded that the query runs
+	answerDue    bool // an answer may still be due on the connection, see accept
+	pageCount    int  // number of pages of the result
+	nextPage     int  // number of the page to request next
+	digest       ResultDigest
 	result       Result // the result as received so far
 }
 
@@ -124,6 +127,7 @@
 // not bound to a connection, and a request for a page starts nothing.
 func (q *Query) EncodeResume() []byte {
 	q.parser, q.answerDue = httpmsg.NewResponseParser(maxBodyBytes), false
+	q.start.PreviousResult = 0
 	if q.state == stateStarting {
 		q.state = stateRunning
 	}
@@ -166,15 +170,11 @@
 	return step, nil
 }
 
-// lastStep returns the step that ends the query.
+// lastStep returns the step that ends the query. Without rows, a duplicate of the end could not be told from the end of the
+// next query, so the connection is kept only after a result.
 func (q *Query) lastStep(result *Result, reusable bool) Step {
-	step := Step{Result: result, KeepConnection: reusable}
-	if !q.answerDue {
-		return step
-	}
-	// After a failure the call may be attempted again at this engine, which a late SyncCall must not concern.
-	step.KeepConnection = reusable && result.Outcome == OutcomeSucceeded
-	if step.KeepConnection {
+	step := Step{Result: result, KeepConnection: reusable && result.Outcome == OutcomeSucceeded}
+	if step.KeepConnection && q.answerDue {
 		step.SyncCall = q.encodeSync()
 	}
 	return step
@@ -217,6 +217,9 @@
 	if err != nil || pageCount < 0 || pageCount > maxPages {
 		return nil, fmt.Errorf("%w: invalid number of pages", ErrCorruptResponse)
 	}
+	if q.digest = digestResult(m); q.digest == q.start.PreviousResult {
+		return nil, fmt.Errorf("%w: a duplicate of the previous query's result", ErrCorruptResponse)
+	}
 	q.result.ActualWorkMS = parseNumber(m, headerWorkMS)
 	q.result.ActualMemoryMB = parseNumber(m, headerMemoryMB)
 	q.pageCount = pageCount
--- a/internal/protocol/engine/sync.go
+++ b/internal/protocol/engine/sync.go
@@ -1,6 +1,10 @@
 package engine
 
-import "aniseloft/internal/protocol/httpmsg"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"aniseloft/internal/protocol/httpmsg"
+)
 
 // statusNoContent is the answer to calls that change a query, and to no others.
 const statusNoContent = 204
@@ -19,3 +23,19 @@
 	m, err := parser.Next()
 	return err == nil && m != nil && m.Status == statusNoContent && !m.Close && parser.Idle()
 }
+
+// ResultDigest is a hash of the first page of a result and of its figures. A query whose result has the digest of the result
+// before it on the connection may have received a duplicate of that, however late, as responses do not name their query.
+type ResultDigest uint64
+
+// ResultDigest returns the digest of the query's result, or 0 if it has none.
+func (q *Query) ResultDigest() ResultDigest { return q.digest }
+
+func digestResult(m *httpmsg.Message) ResultDigest {
+	hash := xxhash.New()
+	for _, name := range []string{headerPageCount, headerWorkMS, headerMemoryMB} {
+		_, _ = hash.WriteString(m.Header.Get(name) + "\n")
+	}
+	_, _ = hash.Write(m.Body)
+	return ResultDigest(hash.Sum64())
+}
--- a/internal/protocol/rest/upstream.go
+++ b/internal/protocol/rest/upstream.go
@@ -20,6 +20,9 @@
 	// unless that request was the start of the query.
 	errCorruptResponse = errors.New("rest: corrupt response")
 	errInvalidNextURI  = errors.New("invalid next URI")
+	// errPreviousQuery is returned for a duplicate of the end of the query before on the connection. The response to this
+	// query follows it.
+	errPreviousQuery = errors.New("rest: response to the previous query")
 )
 
 // maxResponses bounds the responses to one query: an engine must not keep a query open forever.
@@ -41,6 +44,7 @@
 	Statement           []byte
 	IdempotencyKey      string        // empty: CallID is used instead
 	Timeout             time.Duration // maximum run time of the query at the engine
+	PreviousID          string        // ID of the latest query on the connection on which this one is to be started; empty: none
 	// Stream makes Feed return the rows of each page in a Step and keep none of them; the size of the result is
 	// then unlimited.
 	Stream bool
@@ -85,6 +89,9 @@
 	return &UpstreamQuery{host: host, start: s, parser: httpmsg.NewResponseParser(httpmsg.MaxBodyBytes), requested: map[uint64]struct{}{}}
 }
 
+// ID returns the engine's ID of the query, or an empty string if no response has named it.
+func (q *UpstreamQuery) ID() string { return q.id }
+
 // EncodeStart returns the request that starts the query.
 func (q *UpstreamQuery) EncodeStart() []byte {
 	timeoutMS := max(q.start.Timeout.Milliseconds(), 1)
@@ -138,10 +145,15 @@
 	q.latestPage = nil
 	result, err := q.handleResponse(m)
 	switch {
+	case errors.Is(err, errPreviousQuery):
+		q.answerDue = true
+		return q.Feed(nil)
 	case err != nil:
 		return Step{}, err
 	case result != nil:
-		return Step{Result: result, Page: q.latestPage, KeepConnection: reusable && !q.answerDue}, nil
+		// Other ends may not name the query, or name it as its next attempt here: a duplicate could not be told from that one's.
+		keepConnection := reusable && !q.answerDue && result.Outcome == OutcomeSucceeded
+		return Step{Result: result, Page: q.latestPage, KeepConnection: keepConnection}, nil
 	case !reusable:
 		return Step{NeedsNewConnection: true, Page: q.latestPage}, nil
 	}
@@ -172,6 +184,9 @@
 	if err := codec.Unmarshal(m.Body, &r); err != nil || r.ID == "" {
 		return nil, fmt.Errorf("%w: invalid JSON or no query id", errCorruptResponse)
 	}
+	if q.id == "" && r.ID == q.start.PreviousID {
+		return nil, errPreviousQuery
+	}
 	if q.id = cmp.Or(q.id, r.ID); r.ID != q.id {
 		return nil, fmt.Errorf("%w: the response to another query", errCorruptResponse)
 	}
--- a/internal/transport/upstream/cancel.go
+++ b/internal/transport/upstream/cancel.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	for {
-		_, _, err := e.shortCall(ctx, message)
+		_, _, err := e.makeShortCall(ctx, newChange(message))
 		if err == nil || !exclusive || errors.Is(err, syscall.ECONNREFUSED) || !time.Now().Before(attemptEndsBy) {
 			return err
 		}
--- a/internal/transport/upstream/engineclient.go
+++ b/internal/transport/upstream/engineclient.go
@@ -33,7 +33,7 @@
 	if err := e.conns.pool.cancellations.wait(ctx, e.addr, a.CallID); err != nil {
 		return routing.Result{Outcome: decide.OutcomeNotSent, Reason: err.Error()}
 	}
-	c, notSent := e.connect(ctx, a)
+	c, notSent := e.connect(ctx, a, e.conns.get)
 	if notSent != nil {
 		return *notSent
 	}
@@ -44,7 +44,8 @@
 	defer endSend()
 	deadline, _ := ctx.Deadline()
 	q := engine.NewQuery(e.addr, engine.StartRequest{CallID: a.CallID, Class: a.Class, Statement: a.Statement,
-		TimeoutMS: max(time.Until(deadline).Milliseconds(), 1), GrantMB: int64(math.Ceil(a.GrantMB)), Priority: a.Priority, IdempotencyKey: a.IdempotencyKey})
+		TimeoutMS: max(time.Until(deadline).Milliseconds(), 1), GrantMB: int64(math.Ceil(a.GrantMB)), Priority: a.Priority, IdempotencyKey: a.IdempotencyKey,
+		PreviousResult: c.lastResult})
 	res, lastCallAt, err := e.converse(ctx, c, q, a.OnProgress, endSend)
 	if res != nil && err == nil {
 		return e.result(res)
@@ -55,10 +56,10 @@
 	return e.abandon(ctx, a, err, e.prepareCancel(a, lastCallAt, deadline))
 }
 
-// connect returns a connection for an attempt. Where the attempt must not start, connect returns the attempt's
-// result instead.
-func (e *engineClient) connect(ctx context.Context, a routing.AttemptSpec) (*pooledConn, *routing.Result) {
-	c, err := e.conns.get(ctx)
+// connect returns a connection for an attempt, from getConn. Where the attempt must not start, connect returns the
+// attempt's result instead.
+func (e *engineClient) connect(ctx context.Context, a routing.AttemptSpec, getConn func(context.Context) (*pooledConn, error)) (*pooledConn, *routing.Result) {
+	c, err := getConn(ctx)
 	if err != nil {
 		res := connectFailure(ctx, err)
 		return nil, &res
@@ -140,6 +141,7 @@
 				e.conns.recordViolation(&e.conns.pool.invalidProgress, "note")
 			}
 		}
+		c.lastResult = q.ResultDigest()
 		return step.KeepConnection && writeSyncCall(ctx, c, step.SyncCall)
 	})
 	return step, anyAnswered, err
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -24,6 +24,9 @@
 	*netconn.Conn
 	idleSince   time.Time // end of the latest call
 	syncPending bool      // an engine.Step's SyncCall was written, and its answer has not been read
+	// The latest query on the connection, by which a late duplicate of its end is recognized; zero values: none.
+	lastResult  engine.ResultDigest
+	lastQueryID string // at an endpoint of the REST protocol
 }
 
 // isReusable reports whether an idle connection can carry another call: it is open, and no answer is due on it.
--- a/internal/transport/upstream/restclient.go
+++ b/internal/transport/upstream/restclient.go
@@ -27,7 +27,13 @@
 
 // Run runs one attempt. No other call uses the attempt's connection at the same time.
 func (r *restClient) Run(ctx context.Context, a routing.AttemptSpec) routing.Result {
-	c, notSent := r.connect(ctx, a)
+	getConn := r.conns.get
+	if a.IdempotencyKey != "" {
+		// The endpoint may answer from its record of an earlier query under the key, with that query's ID, which must not be
+		// taken for a duplicate.
+		getConn = r.conns.dial
+	}
+	c, notSent := r.connect(ctx, a, getConn)
 	if notSent != nil {
 		return *notSent
 	}
@@ -43,7 +49,7 @@
 	}
 	defer endSend()
 	q := rest.NewUpstreamQuery(r.addr, rest.StartRequest{CallID: a.CallID, Class: a.Class, User: r.user, Statement: a.Statement, Timeout: a.Timeout, IdempotencyKey: a.IdempotencyKey,
-		Stream: a.Sink != nil})
+		Stream: a.Sink != nil, PreviousID: c.lastQueryID})
 	res, err := r.converse(ctx, c, q, a.Sink, endSend)
 	if res != nil {
 		return routing.Result{Outcome: restOutcomes[res.Outcome], Body: res.Body, Streamed: a.Sink != nil, ActualWork: res.ActualWorkMS,
@@ -123,6 +129,7 @@
 			nextCall = step.Send
 			anyAnswered = anyAnswered || err == nil && (step.Result != nil || step.NeedsNewConnection || len(nextCall) > 0)
 		}
+		c.lastQueryID = q.ID()
 		return step.KeepConnection
 	})
 	return step, anyAnswered, err
--- a/internal/transport/upstream/shortcalls.go
+++ b/internal/transport/upstream/shortcalls.go
@@ -16,34 +16,57 @@
 // probes.
 const (
 	statusOK        = 200
+	statusAccepted  = 202
 	statusNoContent = 204
 )
 
+// errDuplicateAnswer is returned for a response that can't answer the call, but an earlier one on the connection.
+var errDuplicateAnswer = errors.New("a duplicate of the answer to an earlier call")
+
+// shortCall is a short call and the statuses that may answer it.
+type shortCall struct {
+	message  []byte
+	isAnswer func(status int) bool
+}
+
+// newChange returns a call that changes a query: a cancellation or a priority.
+func newChange(message []byte) shortCall {
+	return shortCall{message, func(status int) bool { return status != statusOK && status != statusAccepted }}
+}
+
+// newProbe returns a call that makes a health check.
+func newProbe(message []byte) shortCall {
+	return shortCall{message, func(status int) bool { return status != statusAccepted && status != statusNoContent }}
+}
+
+func anyStatus(int) bool { return true }
+
 // shortCallTimeout limits one short call, such as a cancellation.
 const shortCallTimeout = 250 * time.Millisecond
 
-// shortCall makes one short call on a connection that no query is using. Short calls are idempotent, so a call is
-// repeated once where its connection fails, as an idle connection may have been closed by the endpoint.
-func (e *engineClient) shortCall(ctx context.Context, message []byte) (status int, report string, err error) {
+// makeShortCall makes one short call on a connection that no query is using. Short calls are idempotent, so a call is
+// repeated once where its connection fails, as an idle connection may have been closed by the endpoint, or brings a duplicate
+// of an earlier answer. On a new connection any response is the answer.
+func (e *engineClient) makeShortCall(ctx context.Context, call shortCall) (status int, report string, err error) {
 	c, err := e.conns.get(ctx)
 	if err != nil {
 		return 0, "", err
 	}
-	status, report, err = e.shortCallOn(ctx, c, message)
+	status, report, err = e.makeShortCallOn(ctx, c, call)
 	if err == nil || ctx.Err() != nil || netconn.IsTimeout(err) {
 		return status, report, err
 	}
 	if c, err = e.conns.dial(ctx); err != nil {
 		return 0, "", err
 	}
-	return e.shortCallOn(ctx, c, message)
+	return e.makeShortCallOn(ctx, c, shortCall{call.message, anyStatus})
 }
 
-// shortCallOn makes a short call on a connection, and returns the connection to the pool or drops it.
-func (e *engineClient) shortCallOn(ctx context.Context, c *pooledConn, message []byte) (status int, report string, err error) {
+// makeShortCallOn makes a short call on a connection, and returns the connection to the pool or drops it.
+func (e *engineClient) makeShortCallOn(ctx context.Context, c *pooledConn, call shortCall) (status int, report string, err error) {
 	reusable := false
 	defer func() {
-		if reusable {
+		if reusable && err == nil {
 			e.conns.put(c)
 		} else {
 			e.conns.drop(c)
@@ -53,7 +76,7 @@
 	if !ok {
 		deadline = time.Now().Add(shortCallTimeout)
 	}
-	if err := c.Write(ctx, message, deadline); err != nil {
+	if err := c.Write(ctx, call.message, deadline); err != nil {
 		return 0, "", err
 	}
 	for parser := engine.NewResponseParser(); ; {
@@ -61,15 +84,21 @@
 		if err != nil {
 			return 0, "", err
 		}
-		if status, report, reusable, err = parser.Feed(b); err != nil || status != 0 {
-			return status, report, err
+		status, report, reusable, err = parser.Feed(b)
+		switch {
+		case err != nil:
+			return 0, "", err
+		case status != 0 && !call.isAnswer(status):
+			return 0, "", fmt.Errorf("%w: status %d", errDuplicateAnswer, status)
+		case status != 0:
+			return status, report, nil
 		}
 	}
 }
 
 // Prioritize changes the priority of a running query.
 func (e *engineClient) Prioritize(ctx context.Context, call string, priority int) error {
-	status, _, err := e.shortCall(ctx, engine.EncodePriority(e.addr, call, priority))
+	status, _, err := e.makeShortCall(ctx, newChange(engine.EncodePriority(e.addr, call, priority)))
 	if err == nil && status != statusNoContent {
 		err = fmt.Errorf("priority: status %d", status)
 	}
@@ -82,7 +111,7 @@
 }
 
 func (e *engineClient) probe(ctx context.Context, message []byte) (decide.Outcome, *decide.LoadReport) {
-	status, report, err := e.shortCall(ctx, message)
+	status, report, err := e.makeShortCall(ctx, newProbe(message))
 	switch {
 	case err == nil && status == statusOK:
 		return decide.OutcomeSucceeded, e.parseLoad(report)
