--- a/internal/protocol/engine/query.go
+++ b/internal/protocol/engine/query.go
@@ -91,12 +91,12 @@
 	start        StartRequest
 	state        state
 	parser       *httpmsg.Parser
-	acknowledged bool // the engine has responded that the query runs
-	answerDue    bool // an answer may still be due on the connection, see accept
-	pageCount    int  // number of pages of the result
-	nextPage     int  // number of the page to request next
-	digest       ResultDigest
-	result       Result // the result as received so far
+	acknowledged bool         // the engine has responded that the query runs
+	answerDue    bool         // an answer may still be due on the connection, see accept
+	pageCount    int          // number of pages of the result
+	nextPage     int          // number of the page to request next
+	digest       ResultDigest // 0 until the first page
+	result       Result       // the result as received so far
 }
 
 // NewQuery returns a query that has not been sent.
--- a/internal/transport/upstream/cancel_test.go
+++ b/internal/transport/upstream/cancel_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,9 +25,7 @@
 		handle(r.Method, w, r)
 	}))
 	t.Cleanup(srv.Close)
-	pool := NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
-	addr := srv.Listener.Addr().String()
-	return &engineClient{addr: addr, conns: pool.endpoint("a", addr)}
+	return newTestClient(srv.Listener.Addr().String())
 }
 
 // attempt returns a minimal attempt of a call.
--- a/internal/transport/upstream/duplicate_test.go
+++ b/internal/transport/upstream/duplicate_test.go
@@ -1,15 +1,11 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +13,7 @@
 
 	"aniseloft/decide"
 	"aniseloft/internal/protocol/engine"
+	"aniseloft/internal/routing"
 	"aniseloft/internal/transport/netconn"
 	"aniseloft/internal/transport/transporttest"
 )
@@ -24,7 +21,7 @@
 // Guards against serving a client with another client's rows: the engine sends a 202 twice, so the second 202 is taken for the
 // answer to a poll and the poll is repeated; the answer to that repeated poll arrives when the next query uses the connection.
 func TestAnswerToRepeatedPollIsNotTheNextQueryResult(t *testing.T) {
-	addr := stallingEngine(t, func(call string, answer func(message string), awaitCall func()) {
+	addr := stallingEngine(t, func(call string, answer func(string), awaitCall func()) {
 		if call == "first" {
 			accepted := "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 			answer(accepted)
@@ -34,12 +31,10 @@
 		}
 		answer(pagesAnswer(call + "\tb\tc\n"))
 	})
-	client := &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}
-	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
-	defer cancel()
-	require.Equal(t, "first\tb\tc\n", string(client.Run(ctx, attempt("first")).Body))
-	ageIdleConns(client.conns)
-	require.Equal(t, "second\tb\tc\n", string(client.Run(ctx, attempt("second")).Body))
+	client := newTestClient(addr)
+	first, second := runFirstAndSecond(t, client.Run, client.conns)
+	require.Equal(t, "first\tb\tc\n", string(first.Body))
+	require.Equal(t, "second\tb\tc\n", string(second.Body))
 }
 
 // Guards against a load that runs at two engines: as above, and the late answer says that the earlier query never ran, which was
@@ -57,14 +52,11 @@
 		}
 		answer(restAnswer(`{"id":"q-second","data":[["second","b","c"]],"stats":{"state":"FINISHED"}}`))
 	})
-	client := &restClient{engineClient: &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}}
-	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
-	defer cancel()
-	require.Equal(t, decide.OutcomeOverloaded, client.Run(ctx, attempt("first")).Outcome)
-	ageIdleConns(client.conns)
-	result := client.Run(ctx, attempt("second"))
-	require.Equal(t, decide.OutcomeSucceeded, result.Outcome)
-	require.Equal(t, "second\tb\tc\n", string(result.Body))
+	client := &restClient{engineClient: newTestClient(addr)}
+	first, second := runFirstAndSecond(t, client.Run, client.conns)
+	require.Equal(t, decide.OutcomeOverloaded, first.Outcome)
+	require.Equal(t, decide.OutcomeSucceeded, second.Outcome)
+	require.Equal(t, "second\tb\tc\n", string(second.Body))
 }
 
 // Guards against a duplicate of the end of a query that comes after the time for which a connection rests, as engines may stall
@@ -76,21 +68,17 @@
 		"expired":    "HTTP/1.1 504 Gateway Timeout\r\nNever-Ran: 1\r\nContent-Length: 0\r\n\r\n",
 		"failed":     "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
 	} {
-		addr := stallingEngine(t, func(call string, answer func(message string), _ func()) {
+		addr := stallingEngine(t, func(call string, answer func(string), _ func()) {
 			if call == "first" {
 				answer(firstEnd)
 				return
 			}
 			answer(pagesAnswer(call + "\tb\tc\n"))
 		})
-		client := &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}
-		ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
-		defer cancel()
-		client.Run(ctx, attempt("first"))
-		ageIdleConns(client.conns)
-		result := client.Run(ctx, attempt("second"))
-		require.Equal(t, decide.OutcomeSucceeded, result.Outcome, name)
-		require.Equal(t, "second\tb\tc\n", string(result.Body), name)
+		client := newTestClient(addr)
+		_, second := runFirstAndSecond(t, client.Run, client.conns)
+		require.Equal(t, decide.OutcomeSucceeded, second.Outcome, name)
+		require.Equal(t, "second\tb\tc\n", string(second.Body), name)
 	}
 }
 
@@ -101,21 +89,17 @@
 		"overloaded": restAnswer(`{"id":"q-first","error":{"message":"m","errorName":"QUERY_QUEUE_FULL"},"stats":{"state":"FAILED"}}`),
 		"refused":    "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
 	} {
-		addr := stallingEngine(t, func(call string, answer func(message string), _ func()) {
+		addr := stallingEngine(t, func(call string, answer func(string), _ func()) {
 			if call == "first" {
 				answer(firstEnd)
 				return
 			}
 			answer(restAnswer(`{"id":"q-second","data":[["second","b","c"]],"stats":{"state":"FINISHED"}}`))
 		})
-		client := &restClient{engineClient: &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}}
-		ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
-		defer cancel()
-		client.Run(ctx, attempt("first"))
-		ageIdleConns(client.conns)
-		result := client.Run(ctx, attempt("second"))
-		require.Equal(t, decide.OutcomeSucceeded, result.Outcome, name)
-		require.Equal(t, "second\tb\tc\n", string(result.Body), name)
+		client := &restClient{engineClient: newTestClient(addr)}
+		_, second := runFirstAndSecond(t, client.Run, client.conns)
+		require.Equal(t, decide.OutcomeSucceeded, second.Outcome, name)
+		require.Equal(t, "second\tb\tc\n", string(second.Body), name)
 	}
 }
 
@@ -136,14 +120,14 @@
 // Guards against a cancellation that counts as done before the engine has read it, so that the next attempt of the call may
 // start before: a late duplicate of an earlier query's result was taken for its answer.
 func TestDuplicateOfResultIsNotTheAnswerToACancellation(t *testing.T) {
-	addr := stallingEngine(t, func(call string, answer func(message string), _ func()) {
+	addr := stallingEngine(t, func(call string, answer func(string), _ func()) {
 		if call == "first" {
 			answer(pagesAnswer("first\tb\tc\n"))
 			return
 		}
 		answer("HTTP/1.1 204 No Content\r\n\r\n")
 	})
-	client := &engineClient{addr: addr, conns: newTestPool().endpoint("a", addr)}
+	client := newTestClient(addr)
 	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
 	defer cancel()
 	require.Equal(t, decide.OutcomeSucceeded, client.Run(ctx, attempt("first")).Outcome)
@@ -196,8 +180,19 @@
 	}
 }
 
-func newTestPool() *Pool {
-	return NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
+// newTestClient returns a client of the endpoint at addr, with a pool of its own.
+func newTestClient(addr string) *engineClient {
+	pool := NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
+	return &engineClient{addr: addr, conns: pool.endpoint("a", addr)}
+}
+
+// runFirstAndSecond runs the query "first" and then, on the connection that it left if that is kept, the query "second".
+func runFirstAndSecond(t *testing.T, run func(context.Context, routing.AttemptSpec) routing.Result, conns *endpointPool) (first, second routing.Result) {
+	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
+	defer cancel()
+	first = run(ctx, attempt("first"))
+	ageIdleConns(conns)
+	return first, run(ctx, attempt("second"))
 }
 
 // ageIdleConns makes idle connections look as if they had been idle for long enough to be reused.
@@ -208,82 +203,3 @@
 		c.idleSince = time.Now().Add(-2 * minIdleTime)
 	}
 }
-
-// queryScript answers one query. awaitCall reads a further call on the query's connection.
-type queryScript func(call string, answer func(message string), awaitCall func())
-
-// stallingEngine starts an engine that answers queries by a script. It sends its last answer to the query "first" once more,
-// as if to a further call, but stalls before that until another query has arrived on any connection.
-func stallingEngine(t *testing.T, script queryScript) (addr string) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	e := &stallingServer{script: script, otherQueryArrived: make(chan struct{})}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
-type stallingServer struct {
-	script            queryScript
-	noteOtherQuery    sync.Once
-	otherQueryArrived chan struct{} // closed once a query other than "first" has arrived
-}
-
-func (e *stallingServer) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	awaitCall := func() { _, _ = readCall(r) }
-	var lastAnswer string
-	answer := func(message string) {
-		lastAnswer = message
-		_, _ = io.WriteString(c, message)
-	}
-	for {
-		call, err := readCall(r)
-		if err != nil {
-			return
-		}
-		if call != "first" {
-			e.reportOtherQuery()
-		}
-		e.script(call, answer, awaitCall)
-		if call == "first" {
-			e.stall(r)
-			answer(lastAnswer)
-			time.Sleep(time.Millisecond) // lets it arrive before the answer to a query on the same connection
-		}
-	}
-}
-
-func (e *stallingServer) reportOtherQuery() {
-	e.noteOtherQuery.Do(func() { close(e.otherQueryArrived) })
-}
-
-// stall waits until another query has arrived on any connection, and until the next call on this one has arrived or it has ended.
-func (e *stallingServer) stall(r *bufio.Reader) {
-	if _, err := r.Peek(1); err == nil {
-		e.reportOtherQuery()
-	}
-	<-e.otherQueryArrived
-}
-
-// readCall reads one call, and returns the id of the query that it concerns.
-func readCall(r *bufio.Reader) (call string, err error) {
-	request, err := http.ReadRequest(r)
-	if err != nil {
-		return "", err
-	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	if request.Method == "POST" {
-		return request.Header.Get("Request-Id") + request.Header.Get("X-Trino-Trace-Token"), nil
-	}
-	return strings.Split(request.URL.Path, "/")[2], nil
-}
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -29,8 +29,7 @@
 // longer.
 func lateDuplicateAnswer(t *testing.T) (conclusive bool) {
 	addr := duplicatingEngine(t)
-	pool := NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
-	client := &engineClient{addr: addr, conns: pool.endpoint("a", addr)}
+	client := newTestClient(addr)
 	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
 	defer cancel()
 	require.Equal(t, "first\tb\tc\n", string(client.Run(ctx, attempt("first")).Body))
--- a/internal/transport/upstream/wire_bytes_test.go
+++ b/internal/transport/upstream/wire_bytes_test.go
@@ -24,8 +24,7 @@
 	addr, out := transporttest.TranscriptServer(t,
 		"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", "", "HTTP/1.1 200 OK\r\nX-Batches: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n",
 		emptyOK, "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 418 No\r\nContent-Length: 0\r\n\r\n")
-	pool := NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
-	client := &engineClient{addr: addr, conns: pool.endpoint("a", addr)}
+	client := newTestClient(addr)
 	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
 	defer cancel()
 	a := attempt("00000000000000aa")
@@ -49,8 +48,7 @@
 		answer(`{"id":"q","nextUri":"http://(engine)/v1/statement/q/1","stats":{"state":"RUNNING"}}`), "",
 		answer(`{"id":"q","columns":[{"name":"a","type":"varchar"},{"name":"b","type":"varchar"},{"name":"c","type":"varchar"}],"data":[["1","2","3"]],"stats":{"state":"FINISHED"}}`),
 		answer(`{"starting":false}`))
-	pool := NewPool(8, transporttest.WaitTimeout, transporttest.WaitTimeout, slog.New(slog.DiscardHandler))
-	client := &restClient{engineClient: &engineClient{addr: addr, conns: pool.endpoint("a", addr)}, user: "n0"}
+	client := &restClient{engineClient: newTestClient(addr), user: "n0"}
 	ctx, cancel := context.WithTimeout(t.Context(), transporttest.WaitTimeout)
 	defer cancel()
 	a := attempt("00000000000000aa")
