Upgrade: the old process logs that it accepts no connections once that is so

What callers saw: nothing; a connection taken after the line was served.

Cause: the line was written after the listener had been told to stop, and it goes on accepting its backlog for 5 ms (BacklogWait).

--- a/internal/program/shutdown.go
+++ b/internal/program/shutdown.go
@@ -60,7 +60,7 @@
 	p.wakeListeners()
 	if p.instance.othersRunning() {
 		p.stopAccepting()
-		p.log.Info("a successor serves at the clients' address; this process accepts no new connections")
+		go p.logSuccessor()
 	} else {
 		time.AfterFunc(minDrainDuration, p.stopAccepting)
 	}
@@ -69,6 +69,15 @@
 	}
 }
 
+// logSuccessor logs that a successor serves once this process accepts no more connections. It returns by the end of the
+// shutdown, which closes the listeners.
+func (p *Program) logSuccessor() {
+	for _, l := range p.clientListeners() {
+		<-l.AcceptingEnded()
+	}
+	p.log.Info("a successor serves at the clients' address; this process accepts no new connections")
+}
+
 // stopAccepting closes the client listeners for new connections.
 func (p *Program) stopAccepting() {
 	for _, l := range p.clientListeners() {
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -180,6 +180,10 @@
 	}
 }
 
+// AcceptingEnded returns a channel that is closed once no more connections are accepted: up to BacklogWait after
+// StopAccepting, or later while connections of the backlog wait for room.
+func (l *Listener) AcceptingEnded() <-chan struct{} { return l.acceptLoopEnded }
+
 // StopAccepting closes the listener once the connections in the backlog are accepted. Later connections go to
 // another process that listens at the same address, if there is one. Accepted connections are still served.
 func (l *Listener) StopAccepting() {
