--- a/review/standin-2/engines.go
+++ b/review/standin-2/engines.go
@@ -20,6 +20,7 @@
 type fleet struct {
 	run         *run
 	dedupWindow time.Duration
+	rowsPerPage int
 
 	mu      sync.Mutex // guards the fields below
 	byKey   map[string]*execution
@@ -34,12 +35,13 @@
 	askedAt         time.Time
 	work            time.Duration
 	rows            int
+	rowsPerPage     int
 	applied, ended  bool
 	appliedOrGaveUp chan struct{} // closed at its end
 }
 
 func newFleet(r *run, dedupWindow time.Duration) *fleet {
-	return &fleet{run: r, dedupWindow: dedupWindow, byKey: map[string]*execution{}, byCall: map[string]*execution{}, applied: map[string]int{}}
+	return &fleet{run: r, dedupWindow: dedupWindow, rowsPerPage: platformRowsPerPage, byKey: map[string]*execution{}, byCall: map[string]*execution{}, applied: map[string]int{}}
 }
 
 // figure returns the number behind a word of a statement, as in "work 2000".
@@ -65,12 +67,12 @@
 		return first
 	}
 	x := &execution{statement: statement, key: key, startedAt: now, askedAt: now, appliedOrGaveUp: make(chan struct{}),
-		work: time.Duration(figure(statement, "work", 50)) * time.Millisecond, rows: figure(statement, "rows", 3)}
+		work: time.Duration(figure(statement, "work", 50)) * time.Millisecond, rows: figure(statement, "rows", 3), rowsPerPage: f.rowsPerPage}
 	f.byCall[call] = x
 	if key != "" {
 		f.byKey[key] = x
 	}
-	f.run.note("%s runs call %s, key %q: %s", engine, call, key, statement)
+	f.run.note("%s runs call %s, key %q: %.100s", engine, call, key, statement)
 	go f.execute(engine, call, x)
 	return x
 }
@@ -136,15 +138,15 @@
 	return f.applied[statement]
 }
 
-// rowsPerPage rows of 60 bytes stay below a page's 6,000 bytes.
-const rowsPerPage = 90
+// platformRowsPerPage rows of 49 bytes stay below the 6,000 bytes of a page of the platform's protocol.
+const platformRowsPerPage = 90
 
-func (x *execution) pageCount() int { return max(1, (x.rows+rowsPerPage-1)/rowsPerPage) }
+func (x *execution) pageCount() int { return max(1, (x.rows+x.rowsPerPage-1)/x.rowsPerPage) }
 
 // page returns the rows of a page as text.
 func (x *execution) page(n int) string {
 	var b strings.Builder
-	for i := n * rowsPerPage; i < min(x.rows, (n+1)*rowsPerPage); i++ {
+	for i := n * x.rowsPerPage; i < min(x.rows, (n+1)*x.rowsPerPage); i++ {
 		_, _ = fmt.Fprintf(&b, "row %06d\t%s\tvalue %s\n", i, "column two", strings.Repeat("x", 20))
 	}
 	return b.String()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,14 +21,17 @@
 const caseTimeout = 115 * time.Second
 
 var cases = map[string]func(*run) bool{
-	"closed-for-others":    closedForOthers,
-	"cancelled-for-nobody": cancelledForNobody,
-	"load-twice":           loadTwice,
-	"resend-elsewhere":     resendElsewhere,
-	"joined-empty":         joinedEmpty,
-	"last-page-lost":       lastPageLost,
-	"upgrade-fails":        upgradeFails,
-	"slow-reader":          slowReader,
+	"closed-for-others":      closedForOthers,
+	"cancelled-for-nobody":   cancelledForNobody,
+	"over-memory":            overMemory,
+	"statements-over-memory": statementsOverMemory,
+	"crossing-lost":          crossingLost,
+	"load-twice":             loadTwice,
+	"resend-elsewhere":       resendElsewhere,
+	"joined-empty":           joinedEmpty,
+	"last-page-lost":         lastPageLost,
+	"upgrade-fails":          upgradeFails,
+	"slow-reader":            slowReader,
 }
 
 func main() {
--- a/review/standin-2/run.go
+++ b/review/standin-2/run.go
@@ -118,6 +118,7 @@
 	label    string // in the record of this run
 	index    int    // `me` in the settings
 	memoryMB int    // limit; 0: 192
+	sockets  int    // limit; 0: 1024
 	journal  string
 	servers  string // the endpoint list, as JSON
 	settings string
@@ -145,8 +146,8 @@
 		c.write("deploy/rest.json", fmt.Sprintf(s.rest, c.rest))
 	}
 	settings := strings.Replace(s.settings, `"me":0`, fmt.Sprintf(`"me":%d`, s.index), 1)
-	c.write("config.json", fmt.Sprintf(`{"name":%q,"listen":%q,"admin":%q,"seed":"8c1f30d27a5be96%d","limits":{"cores":1.0,"memory_mb":%d,"sockets":1024},`+
-		`"journal":%q,"known":{"pos":1,"entries":[%s]},"settings":%s}`, s.name, c.client, c.admin, s.index, cmp.Or(s.memoryMB, 192), s.journal, s.servers, settings))
+	c.write("config.json", fmt.Sprintf(`{"name":%q,"listen":%q,"admin":%q,"seed":"8c1f30d27a5be96%d","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},`+
+		`"journal":%q,"known":{"pos":1,"entries":[%s]},"settings":%s}`, s.name, c.client, c.admin, s.index, cmp.Or(s.memoryMB, 192), cmp.Or(s.sockets, 1024), s.journal, s.servers, settings))
 	return c
 }
 
