--- a/review/standin-2/crossing.go
+++ b/review/standin-2/crossing.go
@@ -48,31 +48,36 @@
 	line := []byte(`{"jsonrpc":"2.0","id":1,"method":"no-such-class","params":{"doc":"` + strings.Repeat("c2Vs", 25_000) + `"}}` + "\n")
 	for range count {
 		go func() {
-			for {
-				conn, err := net.Dial("tcp4", addr)
-				if err == nil {
-					go func() { _, _ = io.Copy(io.Discard, conn) }()
-					for err == nil {
-						select {
-						case <-stop:
-							_ = conn.Close()
-							return
-						default:
-							_, err = conn.Write(line)
-						}
-					}
-					_ = conn.Close()
-				}
-				select {
-				case <-stop:
-					return
-				case <-time.After(50 * time.Millisecond):
+			for !isClosed(stop) {
+				if conn, err := net.Dial("tcp4", addr); err == nil {
+					writeUntil(conn, line, stop)
 				}
+				time.Sleep(50 * time.Millisecond)
 			}
 		}()
 	}
 }
 
+// writeUntil writes a line again and again until the connection ends or stop is closed. It discards what is answered.
+func writeUntil(conn net.Conn, line []byte, stop <-chan struct{}) {
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	for !isClosed(stop) {
+		if _, err := conn.Write(line); err != nil {
+			return
+		}
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // connectAndIdle opens connections and sends nothing; each is opened again when it is closed, until stop is closed.
 func (r *run) connectAndIdle(addr string, count int, stop <-chan struct{}) {
 	for range count {
