Incomplete messages: each connection has a share; half messages cost others nothing

What callers saw: clients that read every answer lost their connection with the requests open on it, as a crowd of others stopped half way in their messages.

Cause: one budget for the incomplete messages of all clients was checked after each read; once it was used up, the connection that had been read was closed, not those of the holders. The REST front did the same, and didn't count the head and the chunks of a request.

Change: half of the budget is divided equally among the connections. The other half has room for a number of messages of the maximum size; room for the whole message is reserved before its bytes are parsed. One with an open request is never closed for want of this memory. Counters input_memory.

--- /dev/null
+++ b/cmd/aniseloft/memory_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/testdir"
+)
+
+// sendHalfMessages opens count connections that each send the beginning of a message and then size bytes of it, in
+// pieces over one second, and stop before its end. It returns once all have sent what they can.
+func sendHalfMessages(t *testing.T, addr, beginning string, count, size int) {
+	const pieces = 10
+	var all sync.WaitGroup
+	for range count {
+		c, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		all.Go(func() {
+			_, err := io.WriteString(c, beginning)
+			for n := 0; n < pieces && err == nil; n++ {
+				time.Sleep(time.Second / pieces)
+				_, err = io.WriteString(c, strings.Repeat("c2Vs", size/pieces/4))
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Guards against closing a JSON-RPC client's connection, and with it its open requests, because others have used up the
+// memory for incomplete messages. A message above the equal share of that memory is answered too.
+func TestHalfMessagesOfOthersCloseNoConnection(t *testing.T) {
+	t.Parallel()
+	e, j := newFakeEngine(t, false), newFakeJournal(t)
+	j.add(true, serverEntry(1, e, "active"))
+	p := startWithSockets(t, j, 512, false)
+	sound := dialClient(t, p.clientAddr)
+	sound.send(queryLine(1, "ridership-report", "stay", 9000))
+	eventually(t, func() bool { return e.count(&e.attempts, "stay") == 1 })
+	crowdEnded := make(chan struct{})
+	go func() {
+		defer close(crowdEnded)
+		// 7 MB in all, where the memory for incomplete messages is 2 MB.
+		sendHalfMessages(t, p.clientAddr, `{"jsonrpc":"2.0","id":1,"method":"trip-lookup","params":{"doc":"`, 120, 60_000)
+	}()
+	for id, hasEnded := 2, false; !hasEnded; id++ {
+		size := 3000
+		if id%5 == 0 {
+			size = 150_000
+		}
+		line := queryLine(id, "trip-lookup", fmt.Sprintf("select '%s' -- %d", strings.Repeat("x", size), id), 9000) + "\n"
+		for _, part := range []string{line[:len(line)/2], line[len(line)/2:]} {
+			_, err := io.WriteString(sound, part)
+			require.NoError(t, err)
+			time.Sleep(5 * time.Millisecond)
+		}
+		require.Contains(t, sound.readLine(), fmt.Sprintf(`"id":%d,"result"`, id))
+		select {
+		case <-crowdEnded:
+			hasEnded = true
+		default:
+		}
+	}
+	close(e.release)
+	require.Contains(t, sound.readLine(), `"id":1,"result"`)
+}
+
+// Guards against the same on the REST front.
+func TestHalfRequestsOfOthersCloseNoRESTConnection(t *testing.T) {
+	t.Parallel()
+	e, j := newFakeEngine(t, false), newFakeJournal(t)
+	j.add(true, serverEntry(1, e, "active"))
+	p := startWithSockets(t, j, 512, true)
+	crowdEnded := make(chan struct{})
+	go func() {
+		defer close(crowdEnded)
+		beginning := "POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: u\r\nX-Trino-Source: trip-lookup\r\nContent-Length: 190000\r\n\r\n"
+		// 5.4 MB in all, where the memory for incomplete messages is 2 MB.
+		sendHalfMessages(t, p.restAddr, beginning, 36, 150_000)
+	}()
+	client := &http.Client{Timeout: maxWait, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n, hasEnded := 0, false; !hasEnded; n++ {
+		body := fmt.Sprintf("select '%s' -- %d", strings.Repeat("x", 20_000), n)
+		request, err := http.NewRequest(http.MethodPost, "http://"+p.restAddr+"/v1/statement", io.NopCloser(&inTwoParts{text: body, pause: 5 * time.Millisecond}))
+		require.NoError(t, err)
+		request.ContentLength = int64(len(body))
+		request.Header.Set("X-Trino-User", "u")
+		request.Header.Set("X-Trino-Source", "trip-lookup")
+		answer, err := client.Do(request)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		select {
+		case <-crowdEnded:
+			hasEnded = true
+		default:
+		}
+	}
+}
+
+// inTwoParts is a body of which the second half comes after a pause.
+type inTwoParts struct {
+	text  string
+	pause time.Duration
+	sent  int
+}
+
+func (r *inTwoParts) Read(b []byte) (int, error) {
+	switch {
+	case r.sent == len(r.text):
+		return 0, io.EOF
+	case r.sent > 0:
+		time.Sleep(r.pause)
+	}
+	end := len(r.text) / 2
+	if r.sent >= end {
+		end = len(r.text)
+	}
+	n := copy(b, r.text[r.sent:end])
+	r.sent += n
+	return n, nil
+}
+
+// startWithSockets starts the program with a limit of file descriptors, of which clients get a third.
+func startWithSockets(t *testing.T, j *fakeJournal, maxSockets int, withREST bool) *coordinator {
+	p := &coordinator{t: t, dir: testdir.Dir(t), clientAddr: freeAddress(t), adminAddr: freeAddress(t), maxSockets: maxSockets, log: &bytes.Buffer{}}
+	p.configure(j)
+	if withREST {
+		p.writeRESTConfig(filepath.Join(p.dir, "record.db"), 600, `{}`)
+	}
+	p.start(os.Environ())
+	return p
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -41,6 +41,7 @@
 	dispatcher      *routing.Dispatcher
 	discovery       *discovery.Watcher
 	pool            *upstream.Pool
+	jsonRPCServer   *clients.JSONRPCServer
 	clientListener  *listener.Listener
 	adminListener   *listener.Listener // nil if no address for operators' calls is configured
 	gossipTransport *gossip.Transport  // sends and receives gossip; nil if gossip is off
--- a/internal/program/rest.go
+++ b/internal/program/rest.go
@@ -6,6 +6,7 @@
 
 	"aniseloft/internal/config"
 	"aniseloft/internal/fleetconf"
+	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/store"
 	"aniseloft/internal/transport/clients"
 	"aniseloft/internal/transport/listener"
@@ -34,7 +35,7 @@
 		Dispatcher: p.dispatcher, Record: p.store, Spool: p.spool, Node: p.config.Name, Fleet: p.fleet, Log: p.log,
 		Retention: time.Duration(settings.KeepSeconds) * time.Second, PurgeInterval: time.Duration(settings.PurgeMS) * time.Millisecond,
 		CollectSpool: p.spoolCollector(settings), Drain: p.drainPolicy(),
-		InputBudget: listener.NewBudget(p.memoryFraction(inputMemoryFraction)),
+		Input: clients.NewInputMemory(p.memoryFraction(inputMemoryFraction), maxConnections, rest.MaxRequestBytes),
 	}
 	if err := p.restServer.Start(ctx); err != nil {
 		return err
--- a/internal/program/start.go
+++ b/internal/program/start.go
@@ -11,6 +11,7 @@
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/lease"
 	"aniseloft/internal/millis"
+	"aniseloft/internal/protocol/jsonrpc"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/transport/clients"
 	"aniseloft/internal/transport/discovery"
@@ -130,13 +131,13 @@
 
 // listen opens the listeners for clients and, if configured, for operators' calls.
 func (p *Program) listen(budget connectionBudget) error {
-	jsonRPCServer := &clients.JSONRPCServer{
+	p.jsonRPCServer = &clients.JSONRPCServer{
 		Dispatcher: p.dispatcher, Log: p.log, Drain: p.drainPolicy(),
-		InputBudget:  listener.NewBudget(p.memoryFraction(inputMemoryFraction)),
+		Input:        clients.NewInputMemory(p.memoryFraction(inputMemoryFraction), budget.maxClients, jsonrpc.MaxLineBytes),
 		OutputBudget: listener.NewBudget(p.memoryFraction(answerMemoryFraction)),
 	}
 	var err error
-	if p.clientListener, err = listener.Listen(p.config.Listen, budget.maxClients, p.log, jsonRPCServer.Serve); err != nil {
+	if p.clientListener, err = listener.Listen(p.config.Listen, budget.maxClients, p.log, p.jsonRPCServer.Serve); err != nil {
 		return err
 	}
 	if p.config.Admin == "" {
--- a/internal/program/status.go
+++ b/internal/program/status.go
@@ -16,7 +16,7 @@
 
 // printCounters prints the counters of all components.
 func (p *Program) printCounters() {
-	counters := p.dispatcher.Counters.String() + p.pool.String() + p.clientListener.String() + p.describeOverrides() +
+	counters := p.dispatcher.Counters.String() + p.pool.String() + p.clientListener.String() + p.describeMemory() + p.describeOverrides() +
 		fmt.Sprintf("counters journal calls=%d\n", p.discovery.Calls.Load())
 	if p.gossipTransport != nil {
 		counters += p.gossipTransport.String()
@@ -30,6 +30,15 @@
 	_, _ = io.WriteString(p.errOut, counters)
 }
 
+// describeMemory returns the lines of the memory for clients' messages.
+func (p *Program) describeMemory() string {
+	text := fmt.Sprintf("counters input_memory front=jsonrpc %s\n", p.jsonRPCServer.Input)
+	if p.restServer != nil {
+		text += fmt.Sprintf("counters input_memory front=rest %s\n", p.restServer.Input)
+	}
+	return text
+}
+
 // describeOverrides returns a line that says whether an operator has paused this coordinator, and lists the suspended
 // endpoints, each with its number of SUSPEND calls.
 func (p *Program) describeOverrides() string {
--- a/internal/protocol/httpmsg/head.go
+++ b/internal/protocol/httpmsg/head.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	p.buffer = p.buffer[size:]
+	p.buffer, p.headBytes = p.buffer[size:], size
 	p.message = &Message{Header: header}
 	if err := p.parseFirstLine(firstLine); err != nil {
 		return nil, false, err
@@ -129,6 +129,6 @@
 	if p.message.Status == 101 || p.interimCount > maxInterimResponses {
 		return fmt.Errorf("%w: status %d", ErrMalformed, p.message.Status)
 	}
-	p.message = nil
+	p.message, p.headBytes = nil, 0
 	return nil
 }
--- a/internal/protocol/httpmsg/parser.go
+++ b/internal/protocol/httpmsg/parser.go
@@ -40,6 +40,7 @@
 	phase           phase
 	buffer          []byte   // received bytes that are not parsed yet
 	message         *Message // the message being read
+	headBytes       int      // size of the head of the message being read
 	remaining       int      // size in bytes of the body or chunk that is read next
 	interimCount    int      // 1xx heads before the next response
 	err             error    // error that was found in the stream; set if phase is parseFailed
@@ -62,13 +63,23 @@
 // Buffered returns the received bytes after the last message that Next returned.
 func (p *Parser) Buffered() []byte { return p.buffer }
 
+// Held returns the size in bytes of the unfinished message that the parser holds: its head, the chunks of its body, and
+// what is not parsed yet.
+func (p *Parser) Held() int {
+	held := len(p.buffer) + p.headBytes
+	if p.message != nil {
+		held += len(p.message.Body)
+	}
+	return held
+}
+
 // Next returns the next complete message, or nil while more bytes are needed. Errors are ErrTooLarge and ErrMalformed,
 // wrapped; each later call returns the same error.
 func (p *Parser) Next() (*Message, error) {
 	for p.err == nil {
 		m, needsBytes, err := p.step()
 		if err != nil {
-			p.phase, p.err, p.buffer = parseFailed, err, nil
+			p.phase, p.err, p.buffer, p.message, p.headBytes = parseFailed, err, nil, nil, 0
 			break
 		}
 		if m != nil || needsBytes {
@@ -161,7 +172,7 @@
 
 func (p *Parser) finishMessage() *Message {
 	m := p.message
-	p.message, p.remaining, p.phase, p.interimCount = nil, 0, readingHead, 0
+	p.message, p.headBytes, p.remaining, p.phase, p.interimCount = nil, 0, 0, readingHead, 0
 	if len(p.buffer) == 0 {
 		p.buffer = nil // the body of the message may still use it
 	}
--- a/internal/protocol/rest/request.go
+++ b/internal/protocol/rest/request.go
@@ -86,8 +86,11 @@
 	return &RequestParser{httpmsg.NewRequestParser(MaxStatementBytes)}
 }
 
-// Buffered returns the size of the unfinished request in bytes.
-func (p *RequestParser) Buffered() int { return len(p.parser.Buffered()) }
+// MaxRequestBytes bounds a request: its head, its statement and the bytes of the read that completes it.
+const MaxRequestBytes = httpmsg.MaxHeadBytes + MaxStatementBytes
+
+// Held returns the size of the unfinished request in bytes.
+func (p *RequestParser) Held() int { return p.parser.Held() }
 
 // Feed takes bytes and returns the requests that they complete. After an error of httpmsg the connection cannot be
 // used any more; the last request is then an InvalidRequest with the error response.
--- /dev/null
+++ b/internal/transport/clients/inputmemory.go
@@ -0,0 +1,159 @@
+package clients
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"aniseloft/internal/transport/listener"
+	"aniseloft/internal/transport/netconn"
+)
+
+const (
+	// inputShareDivisor is the part of the memory for messages that all connections share equally: one half.
+	inputShareDivisor = 2
+	// inputCheckInterval is how often a connection that waits for memory is checked for a disconnect.
+	inputCheckInterval = clientCheckInterval
+	// inputEvictionDelay is how long a connection waits for memory before it evicts others that hold some and
+	// don't go on sending.
+	inputEvictionDelay = 50 * time.Millisecond
+)
+
+var (
+	// errNoInputMemory is returned where there is no memory for the rest of a message, and no request is open on
+	// its connection.
+	errNoInputMemory = errors.New("no memory for the rest of the message")
+	errClientLeft    = errors.New("the client has disconnected")
+)
+
+// InputMemory divides the memory for the incomplete and unhandled messages of a listener's clients.
+//
+// One half is divided equally: each connection may hold its share at any time, so what others send can't take it
+// away. The other half holds messages above that size. A connection gets memory for a message of the maximum size there
+// at once, so that it never waits in the middle of a message while it holds memory that others wait for. Where all of
+// it is in use, a connection is not read until some is free, first come, first served; and connections without an
+// open request that hold some and don't go on sending are closed.
+type InputMemory struct {
+	share         int                 // bytes that each connection may hold at any time
+	largeCount    int                 // number of connections that may hold more at the same time
+	largeMessages *semaphore.Weighted // one unit for each of these connections
+
+	inUse   atomic.Int64 // connections that hold more than their share
+	waiting atomic.Int64 // connections that wait until they may
+	waits   atomic.Int64 // times that a connection had to wait
+	refused atomic.Int64 // connections closed as they waited for too long
+}
+
+// NewInputMemory divides bytes of memory among maxConnections connections with messages of at most maxMessageBytes.
+func NewInputMemory(bytes int64, maxConnections, maxMessageBytes int) *InputMemory {
+	shared := int(bytes) / inputShareDivisor
+	// The read that completes a message may bring the beginning of the next one.
+	largeCount := max((int(bytes)-shared)/(maxMessageBytes+netconn.SmallBuffer), 1)
+	return &InputMemory{share: shared / max(maxConnections, 1), largeCount: largeCount, largeMessages: semaphore.NewWeighted(int64(largeCount))}
+}
+
+// String returns the counters for operators.
+func (m *InputMemory) String() string {
+	return fmt.Sprintf("share=%d large=%d large_limit=%d waiting=%d waits=%d refused=%d",
+		m.share, m.inUse.Load(), m.largeCount, m.waiting.Load(), m.waits.Load(), m.refused.Load())
+}
+
+func (m *InputMemory) forConn(c *listener.Conn) *connInput { return &connInput{memory: m, conn: c} }
+
+// connInput is the part of an InputMemory that one connection uses. Only the connection's reader calls it.
+type connInput struct {
+	memory     *InputMemory
+	conn       *listener.Conn
+	holdsLarge bool // the connection holds memory for a message of the maximum size
+}
+
+// tryReserve makes room for messages of the given total size, in bytes, unless the connection would have to wait.
+// Where other connections wait, one that holds more than its share gets no more.
+func (i *connInput) tryReserve(size int) bool {
+	if size <= i.memory.share {
+		return true
+	}
+	if i.holdsLarge {
+		return i.memory.waiting.Load() == 0
+	}
+	if !i.memory.largeMessages.TryAcquire(1) {
+		return false
+	}
+	i.setHoldsLarge(true)
+	return true
+}
+
+// reserve makes room for messages of the given total size, in bytes, and waits for it where necessary. Meanwhile the
+// connection counts as having an unhandled message, which is the part that has been read.
+func (i *connInput) reserve(size int) error {
+	if size <= i.memory.share || i.holdsLarge || i.tryReserve(size) {
+		return nil
+	}
+	i.memory.waits.Add(1)
+	i.memory.waiting.Add(1)
+	i.conn.AddUnhandled(1)
+	defer i.memory.waiting.Add(-1)
+	defer i.conn.AddUnhandled(-1)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	go i.watchWait(ctx, cancel)
+	if i.memory.largeMessages.Acquire(ctx, 1) != nil {
+		return context.Cause(ctx)
+	}
+	i.setHoldsLarge(true)
+	return nil
+}
+
+// watchWait ends the wait of a connection whose client has left, or whose message is overdue while no request is open. It
+// returns once ctx ends.
+func (i *connInput) watchWait(ctx context.Context, endWait context.CancelCauseFunc) {
+	startedAt := time.Now()
+	ticker := time.NewTicker(inputCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		switch {
+		case netconn.PeerClosed(i.conn.Conn):
+			endWait(errClientLeft)
+		case i.conn.MessageOverdue():
+			i.memory.refused.Add(1)
+			endWait(errNoInputMemory)
+			return
+		case time.Since(startedAt) >= inputEvictionDelay:
+			i.conn.EvictStalledSenders(int(i.memory.waiting.Load()))
+		}
+	}
+}
+
+// shrink gives memory back once the connection's messages are within its share.
+func (i *connInput) shrink(size int) {
+	if i.holdsLarge && size <= i.memory.share {
+		i.release()
+	}
+}
+
+// release gives back what the connection holds beyond its share.
+func (i *connInput) release() {
+	if i.holdsLarge {
+		i.setHoldsLarge(false)
+		i.memory.largeMessages.Release(1)
+	}
+}
+
+func (i *connInput) setHoldsLarge(holds bool) {
+	i.holdsLarge = holds
+	i.conn.SetHoldsExtraMemory(holds)
+	if holds {
+		i.memory.inUse.Add(1)
+	} else {
+		i.memory.inUse.Add(-1)
+	}
+}
--- /dev/null
+++ b/internal/transport/clients/inputmemory_test.go
@@ -0,0 +1,155 @@
+package clients
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"aniseloft/internal/protocol/jsonrpc"
+	"aniseloft/internal/protocol/rest"
+	"aniseloft/internal/transport/listener"
+	"aniseloft/internal/transport/transporttest"
+)
+
+// aliveLine returns a valid message with an id and at least size bytes.
+func aliveLine(id string, size int) string {
+	return `{"jsonrpc":"2.0","method":"alive","id":` + id + `}` + strings.Repeat(" ", size) + "\n"
+}
+
+// oneLargeMessage returns memory in which one connection of four may hold more than its share, of 37 KB.
+func oneLargeMessage() *InputMemory {
+	return NewInputMemory(300<<10, 4, jsonrpc.MaxLineBytes)
+}
+
+const largeMessage = 100 << 10 // bytes
+
+// serveClient connects a client to a listener.
+func serveClient(t *testing.T, l *listener.Listener) *net.TCPConn {
+	client, server := transporttest.ConnPair(t)
+	l.ServeConn(server)
+	return client
+}
+
+func readLine(t *testing.T, c net.Conn) string {
+	line, err := bufio.NewReader(c).ReadString('\n')
+	require.NoError(t, err)
+	return line
+}
+
+// Guards against a close of a connection whose message is within its share while others hold all other memory.
+func TestMessageWithinShareNeedsNoFreeMemory(t *testing.T) {
+	jsonRPC, _ := jsonrpcServer(t, false)
+	jsonRPC.Input = oneLargeMessage()
+	require.True(t, jsonRPC.Input.largeMessages.TryAcquire(1), "another client has used it up")
+	client := serveClient(t, newListener(t, 4, jsonRPC.Serve))
+	transporttest.Write(t, client, aliveLine("1", 20<<10))
+	require.Contains(t, readLine(t, client), `"pass":true`)
+
+	restServer := &RESTServer{Drain: DrainPolicy{Ready: func() bool { return true }}, Input: jsonRPC.Input, Log: slog.New(slog.DiscardHandler)}
+	client = serveClient(t, newListener(t, 4, restServer.Serve))
+	transporttest.Write(t, client, "GET /v1/info HTTP/1.1\r\nHost: a\r\nX-Padding: "+strings.Repeat("x", 10<<10)+"\r\n\r\n")
+	require.Contains(t, readLine(t, client), "200")
+}
+
+// Guards against leaving a client waiting behind others that hold memory for messages which they don't go on with.
+func TestWaitingMessageEvictsStalledSender(t *testing.T) {
+	srv, _ := jsonrpcServer(t, false)
+	srv.Input = oneLargeMessage()
+	l := newListener(t, 4, srv.Serve)
+	stalled, waiting := serveClient(t, l), serveClient(t, l)
+	transporttest.Write(t, stalled, strings.Repeat(" ", largeMessage))
+	require.Eventually(t, func() bool { return srv.Input.inUse.Load() == 1 }, transporttest.WaitTimeout, time.Millisecond)
+	startedAt := time.Now()
+	transporttest.Write(t, waiting, aliveLine("1", largeMessage))
+	require.Contains(t, readLine(t, waiting), `"pass":true`)
+	require.Less(t, time.Since(startedAt), time.Second, "before the stalled message is overdue, at 2.5 s")
+	_, err := stalled.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// A client with an open request is not closed for others; it completes its message and gets both answers.
+func TestSenderWithOpenRequestIsNotEvicted(t *testing.T) {
+	srv, _ := jsonrpcServer(t, false)
+	srv.Input = oneLargeMessage()
+	l := newListener(t, 4, srv.Serve)
+	holder, waiting := serveClient(t, l), serveClient(t, l)
+	transporttest.Write(t, holder, lookRequest(1)+strings.Repeat(" ", largeMessage))
+	require.Eventually(t, func() bool { return srv.Input.inUse.Load() == 1 && srv.Dispatcher.OpenRequests() == 1 }, transporttest.WaitTimeout, time.Millisecond)
+	transporttest.Write(t, waiting, aliveLine("1", largeMessage))
+	require.Eventually(t, func() bool { return srv.Input.waiting.Load() == 1 }, transporttest.WaitTimeout, time.Millisecond)
+	time.Sleep(4 * inputEvictionDelay)
+	transporttest.Write(t, holder, aliveLine("2", 0))
+	require.Contains(t, readLine(t, holder), `"id":2,"result"`)
+	require.Contains(t, readLine(t, waiting), `"pass":true`)
+	require.EqualValues(t, 1, srv.Dispatcher.OpenRequests())
+}
+
+// A client that leaves while its message waits for memory is noticed, and its open requests are withdrawn.
+func TestDisconnectIsNoticedWhileMessageWaitsForMemory(t *testing.T) {
+	srv, _ := jsonrpcServer(t, false)
+	srv.Input = oneLargeMessage()
+	require.True(t, srv.Input.largeMessages.TryAcquire(1))
+	client := serveClient(t, newListener(t, 4, srv.Serve))
+	transporttest.Write(t, client, lookRequest(1)+strings.Repeat(" ", largeMessage))
+	require.Eventually(t, func() bool { return srv.Input.waiting.Load() == 1 }, transporttest.WaitTimeout, time.Millisecond)
+	require.EqualValues(t, 1, srv.Dispatcher.OpenRequests())
+	require.NoError(t, client.Close())
+	require.Eventually(t, func() bool { return srv.Dispatcher.OpenRequests() == 0 && srv.Input.waiting.Load() == 0 }, transporttest.WaitTimeout, time.Millisecond)
+}
+
+// Where no memory becomes free, a message without an open request beside it is given up like any that is overdue.
+func TestMessageThatWaitsTooLongIsRefused(t *testing.T) {
+	srv, _ := jsonrpcServer(t, false)
+	srv.Input = oneLargeMessage()
+	require.True(t, srv.Input.largeMessages.TryAcquire(1))
+	client := serveClient(t, newListener(t, 4, srv.Serve))
+	transporttest.Write(t, client, aliveLine("1", largeMessage))
+	_, err := client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, "share=38400 large=0 large_limit=1 waiting=0 waits=1 refused=1", srv.Input.String())
+}
+
+// Invalid messages that wait to be handled use memory beyond the share only while no other connection waits for it.
+func TestFloodLeavesMemoryToOthers(t *testing.T) {
+	srv, _ := jsonrpcServer(t, false)
+	srv.Input = oneLargeMessage()
+	l := newListener(t, 4, srv.Serve)
+	flooding, waiting := serveClient(t, l), serveClient(t, l)
+	transporttest.Write(t, flooding, strings.Repeat(floodLine, floodLines))
+	require.Eventually(t, func() bool { return srv.Input.inUse.Load() == 1 }, transporttest.WaitTimeout, time.Millisecond)
+	go func() { // keeps the flood at the size that is above the share
+		for {
+			if _, err := io.WriteString(flooding, strings.Repeat(floodLine, 10)); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	go func() { _, _ = io.Copy(io.Discard, flooding) }()
+	transporttest.Write(t, waiting, aliveLine("1", largeMessage))
+	require.Contains(t, readLine(t, waiting), `"pass":true`)
+	require.Zero(t, srv.Input.refused.Load())
+}
+
+// A request's head and the chunks of its body count as held; a client that stops after them is closed like any other
+// that stops half way.
+func TestHalfRequestInChunksIsHeldAndOverdue(t *testing.T) {
+	restServer := &RESTServer{Drain: DrainPolicy{Ready: func() bool { return true }}, Input: NewInputMemory(4<<20, 4, rest.MaxRequestBytes), Log: slog.New(slog.DiscardHandler)}
+	client := serveClient(t, newListener(t, 4, restServer.Serve))
+	transporttest.Write(t, client, "GET /v1/info HTTP/1.1\r\nHost: a\r\n\r\n")
+	reader := bufio.NewReader(client)
+	line, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "200")
+	transporttest.Write(t, client, "POST /v1/statement HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n")
+	startedAt := time.Now()
+	_, err = io.Copy(io.Discard, reader)
+	require.NoError(t, err)
+	require.Less(t, time.Since(startedAt), restIdleTimeout/2)
+}
--- a/internal/transport/clients/jsonrpc.go
+++ b/internal/transport/clients/jsonrpc.go
@@ -25,15 +25,14 @@
 	maxOpenPerConnection = 32
 )
 
-// errTooMuchUnhandled is returned where a connection's unhandled messages exceed jsonrpc.MaxLineBytes
-// or the input budget.
+// errTooMuchUnhandled is returned where a connection's unhandled messages exceed what a line may hold.
 var errTooMuchUnhandled = errors.New("too many bytes of unhandled messages")
 
 // JSONRPCServer serves the platform's JSON-RPC protocol.
 type JSONRPCServer struct {
 	Dispatcher   *routing.Dispatcher
 	Drain        DrainPolicy
-	InputBudget  *listener.Budget // bytes of incomplete and unhandled messages of all clients
+	Input        *InputMemory     // for incomplete and unhandled messages of all clients
 	OutputBudget *listener.Budget // bytes of queued answers to all clients
 	Log          *slog.Logger
 }
@@ -53,22 +52,23 @@
 
 	// The fields below are used by the reader only.
 	parser             jsonrpc.Parser
-	rejectedSincePause bool    // a message was rejected since the last pause
-	pendingBatches     []batch // messages that are read and not yet handled
-	pendingSize        int     // size of the pending batches that were read during a pause, in bytes
-	budgetedBytes      int     // part of the input budget that the connection uses
+	input              *connInput // memory for the messages that are incomplete or unhandled
+	rejectedSincePause bool       // a message was rejected since the last pause
+	pendingBatches     []batch    // messages that are read and not yet handled
+	pendingSize        int        // size of the messages that were read during a pause and are pending, in bytes
 }
 
 // batch holds the messages of one read that are not yet handled.
 type batch struct {
 	messages   []jsonrpc.Message
-	size       int       // bytes read, for a batch that was read during a pause; 0 for others
+	size       int       // size of the messages in bytes, for a batch that was read during a pause; 0 for others
 	receivedAt time.Time // when the last byte of the batch was read
 }
 
 // Serve serves one client until it disconnects or ctx ends.
 func (s *JSONRPCServer) Serve(ctx context.Context, c *listener.Conn) {
 	j := &jsonrpcConn{server: s, conn: c, answers: make(chan []byte, maxQueuedAnswers), openRequests: map[string]*responder{}}
+	j.input = s.Input.forConn(c)
 	buffered := netconn.New(c, netconn.SmallBuffer)
 	writerEnded := make(chan struct{})
 	go func() { defer close(writerEnded); j.writeAnswers(buffered) }()
@@ -76,10 +76,10 @@
 	err := j.readMessages(ctx, buffered)
 	stopInterrupt()
 	s.Log.Debug("client connection closed", "err", err)
-	s.InputBudget.Adjust(j.budgetedBytes, 0)
+	j.input.release()
 	j.cancelAll()
 	<-writerEnded
-	if errors.Is(err, errTooMuchUnhandled) || errors.Is(err, jsonrpc.ErrLineTooLong) {
+	if errors.Is(err, errTooMuchUnhandled) || errors.Is(err, errNoInputMemory) || errors.Is(err, jsonrpc.ErrLineTooLong) {
 		netconn.Linger(c.Conn, listener.RetransmitWindow) // the client may still be sending, and must get the answer that states the reason
 	}
 }
@@ -88,6 +88,9 @@
 func (j *jsonrpcConn) readMessages(ctx context.Context, bufferedConn *netconn.Conn) error {
 	for {
 		b, readAt, err := j.conn.ReadBytes(ctx, bufferedConn, jsonrpcIdleTimeout, j.server.Drain.Draining)
+		if err == nil {
+			err = j.input.reserve(j.heldBytes() + len(b))
+		}
 		if err != nil {
 			return err
 		}
@@ -96,6 +99,7 @@
 			nextBatch := j.pendingBatches[0]
 			j.pendingBatches = j.pendingBatches[1:]
 			j.handleBatch(nextBatch)
+			j.input.shrink(j.heldBytes())
 			if err == nil && j.rejectedSincePause {
 				err = j.pauseHandling(ctx, bufferedConn)
 			}
@@ -103,10 +107,12 @@
 				return err
 			}
 		}
-		j.adjustBudget()
 	}
 }
 
+// heldBytes returns the size of the connection's incomplete and unhandled messages.
+func (j *jsonrpcConn) heldBytes() int { return j.parser.Buffered() + j.pendingSize }
+
 func (j *jsonrpcConn) handleBatch(b batch) {
 	for _, msg := range b.messages {
 		j.handle(msg, b.receivedAt)
@@ -119,11 +125,12 @@
 // are handled at once, before the messages that are pending. duringPause says that the bytes were read
 // by pauseHandling; only they count against the limit of unhandled bytes.
 func (j *jsonrpcConn) parse(b []byte, receivedAt time.Time, duringPause bool) error {
+	unparsedSize := j.parser.Buffered() + len(b)
 	messages, err := j.parser.Feed(b)
 	j.conn.RecordRead(len(messages) > 0, j.parser.Buffered() > 0)
 	latestBatch := batch{receivedAt: receivedAt}
 	if duringPause {
-		latestBatch.size = len(b)
+		latestBatch.size = unparsedSize - j.parser.Buffered()
 	}
 	for _, msg := range messages {
 		if m, ok := msg.(jsonrpc.Cancel); ok {
@@ -135,26 +142,21 @@
 	j.conn.AddUnhandled(len(latestBatch.messages))
 	j.pendingSize += latestBatch.size
 	j.pendingBatches = append(j.pendingBatches, latestBatch)
-	if withinBudget := j.adjustBudget(); err == nil && (!withinBudget || j.pendingSize > jsonrpc.MaxLineBytes) {
+	if err == nil && duringPause && j.heldBytes() > jsonrpc.MaxLineBytes+netconn.SmallBuffer {
 		err = errTooMuchUnhandled
 	}
 	return err
 }
 
-// adjustBudget records the connection's current use of the input budget and reports whether it is
-// within that budget.
-func (j *jsonrpcConn) adjustBudget() bool {
-	previousBytes := j.budgetedBytes
-	j.budgetedBytes = j.parser.Buffered() + j.pendingSize
-	return j.server.InputBudget.Adjust(previousBytes, j.budgetedBytes)
-}
-
-// pauseHandling handles no messages for rejectionPause. It keeps reading the connection, so that a
-// disconnect or a cancellation is noticed even behind many unhandled messages.
+// pauseHandling handles no messages for rejectionPause. While there is memory for unhandled messages it keeps reading
+// the connection, so that a disconnect or a cancellation is noticed even behind many of them.
 func (j *jsonrpcConn) pauseHandling(ctx context.Context, bufferedConn *netconn.Conn) error {
 	j.rejectedSincePause = false
 	pauseEnd := time.Now().Add(rejectionPause)
 	for {
+		if !j.input.tryReserve(j.heldBytes() + netconn.SmallBuffer) {
+			return j.pauseReading(ctx, pauseEnd)
+		}
 		b, err := bufferedConn.Read(ctx, pauseEnd)
 		if ctx.Err() != nil || netconn.IsTimeout(err) {
 			return nil
@@ -167,3 +169,15 @@
 		}
 	}
 }
+
+// pauseReading waits until pauseEnd without reading the connection. It returns an error if the client has disconnected.
+func (j *jsonrpcConn) pauseReading(ctx context.Context, pauseEnd time.Time) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(pauseEnd)):
+	}
+	if netconn.PeerClosed(j.conn.Conn) {
+		return errClientLeft
+	}
+	return nil
+}
--- a/internal/transport/clients/rest.go
+++ b/internal/transport/clients/rest.go
@@ -34,7 +34,7 @@
 	Record        *store.Store
 	Spool         *spool.Store // stores results; nil: the record stores the pages of results
 	Drain         DrainPolicy
-	InputBudget   *listener.Budget     // bytes of incomplete requests of all clients
+	Input         *InputMemory         // for incomplete and unhandled requests of all clients
 	Retention     time.Duration        // how long an ended query can be read and its idempotency key is kept
 	Node          string               // name of this coordinator in the record, which several coordinators may share
 	PurgeInterval time.Duration        // time between two purges; 0: defaultPurgeInterval
@@ -78,25 +78,29 @@
 	buffered := netconn.New(c, netconn.SmallBuffer)
 	stopInterrupt := context.AfterFunc(ctx, func() { netconn.InterruptRead(c) })
 	defer stopInterrupt()
-	parser, budgetedBytes := rest.NewRequestParser(), 0
-	defer func() { s.InputBudget.Adjust(budgetedBytes, 0) }()
+	parser := rest.NewRequestParser()
+	input := s.Input.forConn(c)
+	defer input.release()
 	for {
 		b, readAt, err := c.ReadBytes(ctx, buffered, restIdleTimeout, s.Drain.Draining)
 		if err != nil {
 			return
 		}
+		if err := input.reserve(parser.Held() + len(b)); err != nil {
+			s.Log.Debug("client connection closed", "err", err)
+			return
+		}
 		messages, err := parser.Feed(b)
-		c.RecordRead(len(messages) > 0, parser.Buffered() > 0)
-		for _, msg := range messages {
-			if closeAfter, ok := s.exchange(ctx, c, buffered, msg, readAt); !ok || closeAfter && err == nil {
+		c.RecordRead(len(messages) > 0, parser.Held() > 0)
+		for i, msg := range messages {
+			messages[i] = nil // its statement is not kept while the client waits for the result
+			if closeAfter, ok := s.exchange(ctx, c, buffered, input, msg, readAt); !ok || closeAfter && err == nil {
 				return
 			}
 		}
-		withinBudget := s.InputBudget.Adjust(budgetedBytes, parser.Buffered())
-		if budgetedBytes = parser.Buffered(); !withinBudget {
-			return
-		}
+		input.shrink(parser.Held())
 		if err != nil {
+			input.release()
 			netconn.Linger(c.Conn, badRequestLinger)
 			return
 		}
@@ -105,7 +109,7 @@
 
 // exchange answers one request. closeAfter reports whether the connection is to be closed after the answer. ok
 // is false where the connection must be closed at once.
-func (s *RESTServer) exchange(ctx context.Context, c *listener.Conn, bufferedConn *netconn.Conn, msg rest.Request, receivedAt time.Time) (closeAfter, ok bool) {
+func (s *RESTServer) exchange(ctx context.Context, c *listener.Conn, bufferedConn *netconn.Conn, input *connInput, msg rest.Request, receivedAt time.Time) (closeAfter, ok bool) {
 	if _, startsQuery := msg.(rest.SubmitRequest); startsQuery && netconn.PeerClosed(c.Conn) {
 		return false, false // the client disconnected while an earlier request was answered
 	}
@@ -113,15 +117,16 @@
 		return false, false
 	}
 	defer c.EndRequest()
-	answer, closeAfter := s.answer(context.WithoutCancel(ctx), c, msg, receivedAt)
+	answer, closeAfter := s.answer(context.WithoutCancel(ctx), c, input, msg, receivedAt)
 	err := bufferedConn.Write(context.WithoutCancel(ctx), answer, time.Now().Add(restWriteTimeout))
 	return closeAfter, err == nil
 }
 
-func (s *RESTServer) answer(ctx context.Context, c *listener.Conn, msg rest.Request, receivedAt time.Time) (encodedAnswer []byte, closeAfter bool) {
+func (s *RESTServer) answer(ctx context.Context, c *listener.Conn, input *connInput, msg rest.Request, receivedAt time.Time) (encodedAnswer []byte, closeAfter bool) {
 	switch m := msg.(type) {
 	case rest.SubmitRequest:
-		return s.startQuery(ctx, c, m, receivedAt), m.Close
+		closeAfter = m.Close
+		return s.startQuery(ctx, c, input, m, receivedAt), closeAfter
 	case rest.PageRequest:
 		return s.page(ctx, m), m.Close
 	case rest.CancelRequest:
--- a/internal/transport/clients/reststatement.go
+++ b/internal/transport/clients/reststatement.go
@@ -27,7 +27,8 @@
 
 // startQuery starts a query, or finds the existing one with the same idempotency key, and returns the answer
 // for its state.
-func (s *RESTServer) startQuery(ctx context.Context, c *listener.Conn, m rest.SubmitRequest, receivedAt time.Time) []byte {
+func (s *RESTServer) startQuery(ctx context.Context, c *listener.Conn, input *connInput, m rest.SubmitRequest, receivedAt time.Time) []byte {
+
 	classIndex, class, err := s.admit(m, receivedAt)
 	if err != nil {
 		if errors.Is(err, errDraining) {
@@ -50,6 +51,7 @@
 		if existingRow.Digest != row.Digest {
 			return s.errorAnswer(errKeyReused)
 		}
+		input.release() // the statement is not needed any more
 		return s.awaitEnd(ctx, existingRow, m.Host, 0, true)
 	}
 	if err := q.reserveSpool(row); err != nil {
@@ -59,6 +61,7 @@
 	}
 	defer q.watchClient(c)()
 	q.submit(classIndex, m, deadline)
+	input.release() // the dispatcher counts the statement
 	row.State = store.StateRunning
 	return s.awaitEnd(ctx, &row, m.Host, 0, true)
 }
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -44,6 +44,7 @@
 	sentMessage      bool      // the client has sent a complete message
 	openRequestCount int       // number of unanswered requests
 	unhandledCount   int       // number of messages that are read and not yet handled
+	holdsExtraMemory bool      // the incomplete or unhandled messages use memory beyond the connection's share
 	closing          bool      // this side has begun to close the connection
 	evicted          bool      // the close makes room for another connection
 }
@@ -107,6 +108,24 @@
 	c.unhandledCount += n
 }
 
+// SetHoldsExtraMemory records whether the connection's messages use memory beyond its share, which others may wait for.
+func (c *Conn) SetHoldsExtraMemory(holds bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holdsExtraMemory = holds
+}
+
+// MessageOverdue reports whether the client has no open request and has been sending its message for too long.
+func (c *Conn) MessageOverdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.openRequestCount == 0 && !c.partialSince.IsZero() && time.Since(c.partialSince) >= messageTimeout
+}
+
+// EvictStalledSenders evicts up to count connections of the same listener that hold extra memory for a message that
+// its client does not go on with.
+func (c *Conn) EvictStalledSenders(count int) { c.listener.evictStalledSenders(count) }
+
 // CountDrainRejection counts a request that was rejected because of a drain.
 func (c *Conn) CountDrainRejection() { c.listener.counts.rejectedInDrain.Add(1) }
 
@@ -163,7 +182,8 @@
 	return c.closing, c.evicted
 }
 
-func (c *Conn) isClosing() bool {
+// IsClosing reports whether this side has begun to close the connection.
+func (c *Conn) IsClosing() bool {
 	closing, _ := c.closeState()
 	return closing
 }
@@ -197,7 +217,7 @@
 			return nil, readAt, err
 		case !readAt.Before(c.closeDeadline(idleTimeout)) && c.claimClose(closeReasonTimeout):
 			return nil, readAt, ErrClosing
-		case c.isClosing():
+		case c.IsClosing():
 			return nil, readAt, ErrClosing
 		}
 	}
@@ -205,7 +225,7 @@
 
 // WakeReader makes the connection's reader check again whether to close.
 func (c *Conn) WakeReader() {
-	if !c.isClosing() {
+	if !c.IsClosing() {
 		_ = c.SetReadDeadline(time.Now())
 	}
 }
@@ -232,9 +252,22 @@
 func (c *Conn) idleSince() (at time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.idleSinceLocked()
+}
+
+func (c *Conn) idleSinceLocked() (at time.Time, ok bool) {
 	at = c.lastActiveAt
 	if c.lastReadAt.After(at) {
 		at = c.lastReadAt
 	}
 	return at, c.openRequestCount == 0 && c.unhandledCount == 0 && !c.closing
 }
+
+// stalledSince returns the time since when a connection that holds extra memory is idle. ok is false for any other
+// connection.
+func (c *Conn) stalledSince() (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok = c.idleSinceLocked()
+	return at, ok && c.holdsExtraMemory
+}
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -52,8 +52,9 @@
 	// cutOff is set once all connections are closed, including accepted ones that are not served yet.
 	cutOff atomic.Bool
 
-	mu    sync.Mutex         // guards conns; locked before a connection's mutex
-	conns map[*Conn]struct{} // connections that count against the limit
+	mu                sync.Mutex         // guards the fields below; locked before a connection's mutex
+	conns             map[*Conn]struct{} // connections that count against the limit
+	stalledEvictionAt time.Time          // when evictStalledSenders last looked for connections
 }
 
 // Listen opens addr; at most limit connections are served at a time. Each further connection evicts the one
