Statements are counted before they wait, and given up once handled

Cause: statements were counted at their admission; up to 4,096 requests waited in the dispatcher's inbox before, and followers were never counted. A connection also kept the messages of its last read until its next: a heap profile beside the case showed 93 of 106 MB in decoded statements while the budget said 3 MB. The REST front kept a statement while its client waited.

Change: Submit reserves a statement's memory before the request waits; without it the statement is dropped and the request rejected. internal/memory gives each client an equal share of one half of the budget, and of the other half at most what it leaves free, so who holds much is refused first. Handled batches are cleared. A message above the share of input memory that waits for 100 ms is refused under its id, and read and dropped, as a client that leaves can't be noticed while its bytes are not read.

--- a/cmd/aniseloft/coordinator_test.go
+++ b/cmd/aniseloft/coordinator_test.go
@@ -175,3 +175,13 @@
 	c.Dir, c.Env = p.dir, p.Env
 	return c
 }
+
+// peakMemoryMB returns the most resident memory that the program has had, in MB.
+func (p *coordinator) peakMemoryMB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	require.NoError(p.t, err)
+	var kb int
+	_, err = fmt.Sscan(string(text[bytes.Index(text, []byte("VmHWM:"))+6:]), &kb)
+	require.NoError(p.t, err)
+	return kb >> 10
+}
--- a/internal/program/start.go
+++ b/internal/program/start.go
@@ -10,6 +10,7 @@
 	"aniseloft/internal/config"
 	"aniseloft/internal/fleetconf"
 	"aniseloft/internal/lease"
+	"aniseloft/internal/memory"
 	"aniseloft/internal/millis"
 	"aniseloft/internal/protocol/jsonrpc"
 	"aniseloft/internal/routing"
@@ -88,7 +89,8 @@
 	settings.MaxInFlight = p.maxInFlight(budget.maxUpstream)
 	p.drain.setLongestDeadline(longestDeadline(settings.Classes))
 	upstreams := upstream.Factory{Pool: p.pool, KindNames: settings.KindNames, RESTKinds: restKinds(restSettings), User: p.config.Name}
-	p.dispatcher, err = routing.NewDispatcher(settings, p.config.SeedNumber, upstreams, p.log, int(p.memoryFraction(statementMemoryFraction)))
+	statements := memory.NewBudget(p.memoryFraction(statementMemoryFraction), budget.maxClients+budget.maxRESTClients)
+	p.dispatcher, err = routing.NewDispatcher(settings, p.config.SeedNumber, upstreams, p.log, statements)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/program/status.go
+++ b/internal/program/status.go
@@ -30,9 +30,10 @@
 	_, _ = io.WriteString(p.errOut, counters)
 }
 
-// describeMemory returns the lines of the memory for clients' messages.
+// describeMemory returns the lines of the memory for statements and clients' messages.
 func (p *Program) describeMemory() string {
-	text := fmt.Sprintf("counters input_memory front=jsonrpc %s\n", p.jsonRPCServer.Input)
+	text := fmt.Sprintf("counters statement_memory %s\n", p.dispatcher.StatementMemory())
+	text += fmt.Sprintf("counters input_memory front=jsonrpc %s\n", p.jsonRPCServer.Input)
 	if p.restServer != nil {
 		text += fmt.Sprintf("counters input_memory front=rest %s\n", p.restServer.Input)
 	}
--- a/internal/protocol/jsonrpc/message.go
+++ b/internal/protocol/jsonrpc/message.go
@@ -12,7 +12,7 @@
 
 var codec = jsoniter.Config{CaseSensitive: true, EscapeHTML: false}.Froze()
 
-// Message is a message from a client: a Request, Cancel, HealthCheck or Invalid.
+// Message is a message from a client: a Request, Cancel, HealthCheck, Invalid or Discarded.
 type Message interface{ message() }
 
 type (
@@ -32,6 +32,8 @@
 	Cancel struct{ ID string }
 	// HealthCheck asks whether the coordinator accepts requests.
 	HealthCheck struct{ ID string }
+	// Discarded is a message that was not kept, see Parser.Discard.
+	Discarded struct{ ID string }
 	// Invalid is a message that cannot be accepted. ID is "null" if the message has no usable ID; Response is the
 	// response line.
 	Invalid struct {
@@ -43,6 +45,7 @@
 func (Request) message()     {}
 func (Cancel) message()      {}
 func (HealthCheck) message() {}
+func (Discarded) message()   {}
 func (Invalid) message()     {}
 
 // noID is the ID in the response to a message without a usable ID.
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -45,12 +45,18 @@
 	return nil
 }
 
-// Submit starts a request. The responder receives exactly one answer, unless Withdraw is called before.
+// Submit starts a request. The responder receives exactly one answer, unless Withdraw is called before. The memory of
+// the statement is reserved here, before the request waits for the dispatcher's goroutine. Where there is none, the
+// statement is dropped and the request rejected.
 func (d *Dispatcher) Submit(query Query, responder Responder) Ticket {
 	ticket := Ticket{
 		requestID:  decide.RequestID(strconv.FormatUint(d.lastRequestNumber.Add(1), 36)),
 		clientLeft: new(atomic.Bool),
 	}
+	var hasMemory bool
+	if query.statementMemory, hasMemory = query.StatementOwner.Reserve(len(query.Statement)); !hasMemory {
+		query.Statement = nil
+	}
 	d.openRequestCount.Add(1)
 	d.lastSubmittedAt.Store(time.Now().UnixMilli())
 	d.post(func() {
@@ -70,7 +76,7 @@
 		d.answer(r, answer)
 		return
 	}
-	if len(d.requests) >= d.openRequestLimit || len(query.Statement) > d.freeStatementBytes {
+	if len(d.requests) >= d.openRequestLimit || query.statementMemory == nil {
 		d.answer(r, Answer{Kind: Rejected, RetryAfter: millis.Duration(d.settings.MaxRetryAfter), Reason: reasonTooManyOpen})
 		return
 	}
@@ -96,7 +102,6 @@
 // open registers an admitted request and passes it to the balancer.
 func (d *Dispatcher) open(r *request) {
 	d.requests[r.requestID], d.openCallIDs[r.query.CallID] = r, struct{}{}
-	d.freeStatementBytes -= len(r.query.Statement)
 	timeLeft := time.Until(r.query.Deadline)
 	d.log.Debug("request admitted", "call", r.query.CallID, "class", r.query.Class, "time_left_ms", timeLeft.Milliseconds(), "work_ms", r.query.EstimatedWork)
 	d.startDeadlineTimer(r)
--- a/internal/routing/dispatcher.go
+++ b/internal/routing/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"aniseloft/decide"
+	"aniseloft/internal/memory"
 	"aniseloft/internal/millis"
 )
 
@@ -34,13 +35,13 @@
 	done           chan struct{} // closed when Run ends
 	deferredEvents []func()      // events that Run handles right after the current one
 
-	requests           map[decide.RequestID]*request
-	openCallIDs        map[string]struct{} // call IDs of the open requests, by which endpoints identify them
-	coalescer          *coalescer
-	runHistory         *runHistory
-	endpoints          map[decide.EndpointID]*listedEndpoint
-	openRequestLimit   int // maximum number of open requests
-	freeStatementBytes int // bytes left for the statements of further requests
+	requests         map[decide.RequestID]*request
+	openCallIDs      map[string]struct{} // call IDs of the open requests, by which endpoints identify them
+	coalescer        *coalescer
+	runHistory       *runHistory
+	endpoints        map[decide.EndpointID]*listedEndpoint
+	openRequestLimit int            // maximum number of open requests
+	statements       *memory.Budget // for the statements of all submitted requests
 
 	processEnding    bool          // AnswerAllOpen was called: further requests are rejected
 	endingRetryAfter time.Duration // retry delay of these rejections
@@ -54,9 +55,9 @@
 	PeerSender PeerSender // set before Run; nil: no gossip
 }
 
-// NewDispatcher returns a dispatcher whose event loop is not running yet. maxStatementBytes limits the
-// total size of the statements of all open requests.
-func NewDispatcher(settings decide.Settings, seed uint64, upstreams UpstreamFactory, log *slog.Logger, maxStatementBytes int) (*Dispatcher, error) {
+// NewDispatcher returns a dispatcher whose event loop is not running yet. statements limits the total size of the
+// statements of all requests from Submit until no attempt of them is running.
+func NewDispatcher(settings decide.Settings, seed uint64, upstreams UpstreamFactory, log *slog.Logger, statements *memory.Budget) (*Dispatcher, error) {
 	balancer, err := decide.New(settings, seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -66,7 +67,7 @@
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, openCallIDs: map[string]struct{}{},
 		coalescer: newCoalescer(), runHistory: newRunHistory(), endpoints: map[decide.EndpointID]*listedEndpoint{},
-		openRequestLimit: maxOpenRequests, freeStatementBytes: maxStatementBytes,
+		openRequestLimit: maxOpenRequests, statements: statements,
 		overrides: newOverrideTable(), Counters: newCounters(settings),
 	}
 	if settings.MaxOpenRequests > 0 {
@@ -75,6 +76,12 @@
 	return d, nil
 }
 
+// NewStatementOwner returns the account of a client for the statements of its requests.
+func (d *Dispatcher) NewStatementOwner() *memory.Account { return d.statements.NewAccount() }
+
+// StatementMemory returns the budget for the statements of all requests.
+func (d *Dispatcher) StatementMemory() *memory.Budget { return d.statements }
+
 // Settings returns the settings that the dispatcher was created with.
 func (d *Dispatcher) Settings() decide.Settings { return d.settings }
 
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"aniseloft/internal/memory"
 )
 
 // Query is a query as a client requests it.
@@ -11,11 +13,15 @@
 	Class             int    // index into the settings' classes
 	Statement         []byte
 	Deadline          time.Time
-	EstimatedWork     float64    // milliseconds on one core; 0: no estimate
-	EstimatedMemoryMB float64    // 0: no estimate
-	IdempotencyKey    string     // passed to endpoints unchanged; empty: none
-	IsRetry           bool       // the client marks the request as a retry
-	Sink              ResultSink // receives the result page by page if the endpoint can stream it; nil: the result is one body
+	EstimatedWork     float64         // milliseconds on one core; 0: no estimate
+	EstimatedMemoryMB float64         // 0: no estimate
+	IdempotencyKey    string          // passed to endpoints unchanged; empty: none
+	IsRetry           bool            // the client marks the request as a retry
+	StatementOwner    *memory.Account // whom the statement's memory is counted for, see Dispatcher.NewStatementOwner
+	Sink              ResultSink      // receives the result page by page if the endpoint can stream it; nil: the result is one body
+
+	// statementMemory is set by Submit.
+	statementMemory *memory.Reservation // nil: there was no memory, and the statement is dropped
 }
 
 // ResultSink receives a streamed result. Only one attempt writes at a time.
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -174,12 +174,15 @@
 	if r.deadlineTimer != nil {
 		r.deadlineTimer.Stop()
 	}
+	if d.requests[r.requestID] != r { // a follower, or rejected at its admission: no attempt uses the statement
+		r.query.statementMemory.Release()
+	}
 }
 
 // removeIfDone removes a request that is closed and has no running attempt.
 func (d *Dispatcher) removeIfDone(r *request) {
 	if r.closed() && r.runningAttempts == 0 && d.requests[r.requestID] == r {
-		d.freeStatementBytes += len(r.query.Statement)
+		r.query.statementMemory.Release()
 		delete(d.requests, r.requestID)
 		delete(d.openCallIDs, r.query.CallID)
 	}
--- a/internal/transport/clients/errors.go
+++ b/internal/transport/clients/errors.go
@@ -10,6 +10,7 @@
 	errDraining          = errors.New("draining")
 	errIDInUse           = errors.New("id of an open request")
 	errTooManyOpen       = errors.New("too many open requests on the connection")
+	errInputMemoryInUse  = errors.New("memory for messages in use")
 	errKeyReused         = errors.New("idempotency key used with another statement")
 	errRecordUnavailable = errors.New("the query record can't be read")
 	errQueryNotFound     = errors.New("no such query")
--- a/internal/transport/clients/inputmemory.go
+++ b/internal/transport/clients/inputmemory.go
@@ -18,25 +18,27 @@
 	inputShareDivisor = 2
 	// inputCheckInterval is how often a connection that waits for memory is checked for a disconnect.
 	inputCheckInterval = clientCheckInterval
+	// inputMaxWait is how long a connection waits for memory before its message is refused. The wait is short: a client
+	// that leaves can't be noticed while the bytes that it sent before are not read.
+	inputMaxWait = 100 * time.Millisecond
+	// anonymousMaxWait is the longest wait of a message that can't be refused, as it has no ID yet: longer than any
+	// request is open. A message without an open request beside it is overdue before.
+	anonymousMaxWait = time.Hour
 	// inputEvictionDelay is how long a connection waits for memory before it evicts others that hold some and
 	// don't go on sending.
 	inputEvictionDelay = 50 * time.Millisecond
 )
 
-var (
-	// errNoInputMemory is returned where there is no memory for the rest of a message, and no request is open on
-	// its connection.
-	errNoInputMemory = errors.New("no memory for the rest of the message")
-	errClientLeft    = errors.New("the client has disconnected")
-)
+// errClientLeft is returned where the client disconnected while its connection was not read.
+var errClientLeft = errors.New("the client has disconnected")
 
 // InputMemory divides the memory for the incomplete and unhandled messages of a listener's clients.
 //
 // One half is divided equally: each connection may hold its share at any time, so what others send can't take it
 // away. The other half holds messages above that size. A connection gets memory for a message of the maximum size there
 // at once, so that it never waits in the middle of a message while it holds memory that others wait for. Where all of
-// it is in use, a connection is not read until some is free, first come, first served; and connections without an
-// open request that hold some and don't go on sending are closed.
+// it is in use, a connection is not read until some is free, first come, first served, and its message is refused after
+// inputMaxWait. Connections without an open request that hold some and don't go on sending are closed meanwhile.
 type InputMemory struct {
 	share         int                 // bytes that each connection may hold at any time
 	largeCount    int                 // number of connections that may hold more at the same time
@@ -45,7 +47,7 @@
 	inUse   atomic.Int64 // connections that hold more than their share
 	waiting atomic.Int64 // connections that wait until they may
 	waits   atomic.Int64 // times that a connection had to wait
-	refused atomic.Int64 // connections closed as they waited for too long
+	refused atomic.Int64 // messages that waited for too long
 }
 
 // NewInputMemory divides bytes of memory among maxConnections connections with messages of at most maxMessageBytes.
@@ -87,9 +89,10 @@
 	return true
 }
 
-// reserve makes room for messages of the given total size, in bytes, and waits for it where necessary. Meanwhile the
-// connection counts as having an unhandled message, which is the part that has been read.
-func (i *connInput) reserve(size int) error {
+// reserve makes room for messages of the given total size, in bytes, and waits for it up to maxWait where necessary.
+// Meanwhile the connection counts as having an unhandled message, which is the part that has been read. The error is
+// errInputMemoryInUse, or errClientLeft.
+func (i *connInput) reserve(size int, maxWait time.Duration) error {
 	if size <= i.memory.share || i.holdsLarge || i.tryReserve(size) {
 		return nil
 	}
@@ -98,7 +101,9 @@
 	i.conn.AddUnhandled(1)
 	defer i.memory.waiting.Add(-1)
 	defer i.conn.AddUnhandled(-1)
-	ctx, cancel := context.WithCancelCause(context.Background())
+	limited, cancelLimit := context.WithTimeoutCause(context.Background(), maxWait, errInputMemoryInUse)
+	defer cancelLimit()
+	ctx, cancel := context.WithCancelCause(limited)
 	defer cancel(nil)
 	go i.watchWait(ctx, cancel)
 	if i.memory.largeMessages.Acquire(ctx, 1) != nil {
@@ -124,9 +129,7 @@
 		case netconn.PeerClosed(i.conn.Conn):
 			endWait(errClientLeft)
 		case i.conn.MessageOverdue():
-			i.memory.refused.Add(1)
-			endWait(errNoInputMemory)
-			return
+			endWait(errInputMemoryInUse)
 		case time.Since(startedAt) >= inputEvictionDelay:
 			i.conn.EvictStalledSenders(int(i.memory.waiting.Load()))
 		}
--- a/internal/transport/clients/jsonrpc.go
+++ b/internal/transport/clients/jsonrpc.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"aniseloft/internal/memory"
 	"aniseloft/internal/protocol/jsonrpc"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/transport/listener"
@@ -44,7 +45,8 @@
 	conn   *listener.Conn
 	// answers is the writer's queue; queue sends to it and closes it, under mu.
 	answers     chan []byte
-	queuedBytes atomic.Int64 // size of the answers in the queue, in bytes
+	statements  *memory.Account // for the statements of the client's requests
+	queuedBytes atomic.Int64    // size of the answers in the queue, in bytes
 
 	mu            sync.Mutex            // guards answersClosed and openRequests
 	answersClosed bool                  // nothing more may be queued
@@ -67,7 +69,7 @@
 
 // Serve serves one client until it disconnects or ctx ends.
 func (s *JSONRPCServer) Serve(ctx context.Context, c *listener.Conn) {
-	j := &jsonrpcConn{server: s, conn: c, answers: make(chan []byte, maxQueuedAnswers), openRequests: map[string]*responder{}}
+	j := &jsonrpcConn{server: s, conn: c, answers: make(chan []byte, maxQueuedAnswers), openRequests: map[string]*responder{}, statements: s.Dispatcher.NewStatementOwner()}
 	j.input = s.Input.forConn(c)
 	buffered := netconn.New(c, netconn.SmallBuffer)
 	writerEnded := make(chan struct{})
@@ -79,7 +81,7 @@
 	j.input.release()
 	j.cancelAll()
 	<-writerEnded
-	if errors.Is(err, errTooMuchUnhandled) || errors.Is(err, errNoInputMemory) || errors.Is(err, jsonrpc.ErrLineTooLong) {
+	if errors.Is(err, errTooMuchUnhandled) || errors.Is(err, errInputMemoryInUse) || errors.Is(err, jsonrpc.ErrLineTooLong) {
 		netconn.Linger(c.Conn, listener.RetransmitWindow) // the client may still be sending, and must get the answer that states the reason
 	}
 }
@@ -89,16 +91,14 @@
 	for {
 		b, readAt, err := j.conn.ReadBytes(ctx, bufferedConn, jsonrpcIdleTimeout, j.server.Drain.Draining)
 		if err == nil {
-			err = j.input.reserve(j.heldBytes() + len(b))
+			err = j.reserveInput(len(b))
 		}
 		if err != nil {
 			return err
 		}
 		err = j.parse(b, readAt, false)
 		for len(j.pendingBatches) > 0 {
-			nextBatch := j.pendingBatches[0]
-			j.pendingBatches = j.pendingBatches[1:]
-			j.handleBatch(nextBatch)
+			j.handleBatch(j.takePendingBatch())
 			j.input.shrink(j.heldBytes())
 			if err == nil && j.rejectedSincePause {
 				err = j.pauseHandling(ctx, bufferedConn)
@@ -110,9 +110,35 @@
 	}
 }
 
+// reserveInput makes room for bytes that have been read. Where there is none for a while, the message that they belong to
+// is discarded, and refused at its end.
+func (j *jsonrpcConn) reserveInput(readSize int) error {
+	if j.parser.Discarding() {
+		return nil
+	}
+	err := j.input.reserve(j.heldBytes()+readSize, inputMaxWait)
+	if !errors.Is(err, errInputMemoryInUse) {
+		return err
+	}
+	if j.parser.Discard() {
+		j.input.memory.refused.Add(1)
+		return nil
+	}
+	return j.input.reserve(j.heldBytes()+readSize, anonymousMaxWait)
+}
+
 // heldBytes returns the size of the connection's incomplete and unhandled messages.
 func (j *jsonrpcConn) heldBytes() int { return j.parser.Buffered() + j.pendingSize }
 
+// takePendingBatch removes the first pending batch and returns it. It leaves no reference to its messages behind: a
+// connection must not keep statements that it has submitted.
+func (j *jsonrpcConn) takePendingBatch() batch {
+	first := j.pendingBatches[0]
+	j.pendingBatches[0] = batch{}
+	j.pendingBatches = j.pendingBatches[1:]
+	return first
+}
+
 func (j *jsonrpcConn) handleBatch(b batch) {
 	for _, msg := range b.messages {
 		j.handle(msg, b.receivedAt)
@@ -127,7 +153,7 @@
 func (j *jsonrpcConn) parse(b []byte, receivedAt time.Time, duringPause bool) error {
 	unparsedSize := j.parser.Buffered() + len(b)
 	messages, err := j.parser.Feed(b)
-	j.conn.RecordRead(len(messages) > 0, j.parser.Buffered() > 0)
+	j.conn.RecordRead(len(messages) > 0, j.parser.Incomplete())
 	latestBatch := batch{receivedAt: receivedAt}
 	if duringPause {
 		latestBatch.size = unparsedSize - j.parser.Buffered()
--- a/internal/transport/clients/jsonrpc_test.go
+++ b/internal/transport/clients/jsonrpc_test.go
@@ -142,3 +142,12 @@
 	require.Eventually(t, func() bool { return srv.Input.largeMessages.TryAcquire(int64(srv.Input.largeCount)) },
 		transporttest.WaitTimeout, time.Millisecond, "the whole memory for large messages is free again")
 }
+
+// Guards against keeping a handled message, with its statement, until the connection's next read.
+func TestHandledMessagesAreNotKept(t *testing.T) {
+	batches := []batch{{messages: []jsonrpc.Message{jsonrpc.Cancel{ID: "1"}}}, {size: 2}}
+	j := &jsonrpcConn{pendingBatches: batches}
+	require.Len(t, j.takePendingBatch().messages, 1)
+	require.Equal(t, []batch{{size: 2}}, j.pendingBatches)
+	require.Equal(t, batch{}, batches[0])
+}
--- a/internal/transport/clients/jsonrpcrequests.go
+++ b/internal/transport/clients/jsonrpcrequests.go
@@ -30,6 +30,10 @@
 		if !j.rejectIDInUse(msg.ID) {
 			j.send(jsonrpc.EncodeHealth(msg.ID, j.server.Drain.Ready()))
 		}
+	case jsonrpc.Discarded:
+		if !j.rejectIDInUse(msg.ID) {
+			j.send(j.errorAnswer(msg.ID, errInputMemoryInUse))
+		}
 	case jsonrpc.Invalid:
 		if !j.rejectIDInUse(msg.ID) {
 			j.reject(msg.Response)
@@ -95,7 +99,7 @@
 	}
 	r.ticket = j.server.Dispatcher.Submit(routing.Query{CallID: m.CallID, Class: classIndex, Statement: m.Statement,
 		Deadline: receivedAt.Add(millis.Duration(m.TimeoutMS)), EstimatedWork: m.EstimatedWorkMS, EstimatedMemoryMB: m.EstimatedMemoryMB,
-		IdempotencyKey: m.IdempotencyKey, IsRetry: m.IsRetry}, r)
+		IdempotencyKey: m.IdempotencyKey, IsRetry: m.IsRetry, StatementOwner: j.statements}, r)
 }
 
 // admit checks a request and returns the index of its class.
@@ -211,6 +215,8 @@
 		return jsonrpc.EncodeError(id, jsonrpc.CodeInvalidRequest, "invalid request: the id is in use")
 	case errors.Is(err, errDraining):
 		return jsonrpc.EncodeRejection(id, "this coordinator is sending its clients away", float64(drain.RetryAfter.Milliseconds()))
+	case errors.Is(err, errInputMemoryInUse):
+		return jsonrpc.EncodeRejection(id, "no memory for a message of this size", j.server.Dispatcher.Settings().MaxRetryAfter)
 	case errors.Is(err, errTooManyOpen):
 		return jsonrpc.EncodeRejection(id, "too many open requests on this connection", j.server.Dispatcher.Settings().MaxRetryAfter)
 	}
--- a/internal/transport/clients/rest.go
+++ b/internal/transport/clients/rest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"aniseloft/internal/drain"
+	"aniseloft/internal/memory"
 	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/spool"
@@ -73,60 +74,81 @@
 	return s.liveQueries[id]
 }
 
+// restConn is one connection. Only its reader, the goroutine of Serve, uses it.
+type restConn struct {
+	*listener.Conn
+	buffered   *netconn.Conn
+	input      *connInput      // memory for requests that are incomplete or unhandled
+	statements *memory.Account // for the statements of the client's queries; nil before the first
+}
+
 // Serve serves one client until it disconnects or ctx ends. It answers one request after the other.
-func (s *RESTServer) Serve(ctx context.Context, c *listener.Conn) {
-	buffered := netconn.New(c, netconn.SmallBuffer)
+func (s *RESTServer) Serve(ctx context.Context, listenerConn *listener.Conn) {
+	c := &restConn{Conn: listenerConn, buffered: netconn.New(listenerConn, netconn.SmallBuffer), input: s.Input.forConn(listenerConn)}
 	stopInterrupt := context.AfterFunc(ctx, func() { netconn.InterruptRead(c) })
 	defer stopInterrupt()
 	parser := rest.NewRequestParser()
-	input := s.Input.forConn(c)
-	defer input.release()
+	defer c.input.release()
 	for {
-		b, readAt, err := c.ReadBytes(ctx, buffered, restIdleTimeout, s.Drain.Draining)
+		b, readAt, err := c.ReadBytes(ctx, c.buffered, restIdleTimeout, s.Drain.Draining)
 		if err != nil {
 			return
 		}
-		if err := input.reserve(parser.Held() + len(b)); err != nil {
-			s.Log.Debug("client connection closed", "err", err)
+		if err := c.input.reserve(parser.Held()+len(b), inputMaxWait); err != nil {
+			s.refuseUnread(ctx, c, err)
 			return
 		}
 		messages, err := parser.Feed(b)
 		c.RecordRead(len(messages) > 0, parser.Held() > 0)
 		for i, msg := range messages {
 			messages[i] = nil // its statement is not kept while the client waits for the result
-			if closeAfter, ok := s.exchange(ctx, c, buffered, input, msg, readAt); !ok || closeAfter && err == nil {
+			if closeAfter, ok := s.exchange(ctx, c, msg, readAt); !ok || closeAfter && err == nil {
 				return
 			}
 		}
-		input.shrink(parser.Held())
+		c.input.shrink(parser.Held())
 		if err != nil {
-			input.release()
-			netconn.Linger(c.Conn, badRequestLinger)
+			c.input.release()
+			netconn.Linger(c.Conn.Conn, badRequestLinger)
 			return
 		}
 	}
 }
 
+// refuseUnread refuses a request for which there is no memory. Its connection can't be used any more, as the rest of the
+// request is not read.
+func (s *RESTServer) refuseUnread(ctx context.Context, c *restConn, err error) {
+	s.Log.Debug("client connection closed", "err", err)
+	if !errors.Is(err, errInputMemoryInUse) {
+		return
+	}
+	c.input.memory.refused.Add(1)
+	answer := rejection(newToken(), s.maxRetryAfter())
+	if c.buffered.Write(context.WithoutCancel(ctx), answer, time.Now().Add(restWriteTimeout)) == nil {
+		netconn.Linger(c.Conn.Conn, badRequestLinger)
+	}
+}
+
 // exchange answers one request. closeAfter reports whether the connection is to be closed after the answer. ok
 // is false where the connection must be closed at once.
-func (s *RESTServer) exchange(ctx context.Context, c *listener.Conn, bufferedConn *netconn.Conn, input *connInput, msg rest.Request, receivedAt time.Time) (closeAfter, ok bool) {
-	if _, startsQuery := msg.(rest.SubmitRequest); startsQuery && netconn.PeerClosed(c.Conn) {
+func (s *RESTServer) exchange(ctx context.Context, c *restConn, msg rest.Request, receivedAt time.Time) (closeAfter, ok bool) {
+	if _, startsQuery := msg.(rest.SubmitRequest); startsQuery && netconn.PeerClosed(c.Conn.Conn) {
 		return false, false // the client disconnected while an earlier request was answered
 	}
 	if !c.BeginRequest() { // the connection is being closed: the client sends the request again
 		return false, false
 	}
 	defer c.EndRequest()
-	answer, closeAfter := s.answer(context.WithoutCancel(ctx), c, input, msg, receivedAt)
-	err := bufferedConn.Write(context.WithoutCancel(ctx), answer, time.Now().Add(restWriteTimeout))
+	answer, closeAfter := s.answer(context.WithoutCancel(ctx), c, msg, receivedAt)
+	err := c.buffered.Write(context.WithoutCancel(ctx), answer, time.Now().Add(restWriteTimeout))
 	return closeAfter, err == nil
 }
 
-func (s *RESTServer) answer(ctx context.Context, c *listener.Conn, input *connInput, msg rest.Request, receivedAt time.Time) (encodedAnswer []byte, closeAfter bool) {
+func (s *RESTServer) answer(ctx context.Context, c *restConn, msg rest.Request, receivedAt time.Time) (encodedAnswer []byte, closeAfter bool) {
 	switch m := msg.(type) {
 	case rest.SubmitRequest:
 		closeAfter = m.Close
-		return s.startQuery(ctx, c, input, m, receivedAt), closeAfter
+		return s.startQuery(ctx, c, m, receivedAt), closeAfter
 	case rest.PageRequest:
 		return s.page(ctx, m), m.Close
 	case rest.CancelRequest:
--- a/internal/transport/clients/reststatement.go
+++ b/internal/transport/clients/reststatement.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"aniseloft/decide"
+	"aniseloft/internal/memory"
 	"aniseloft/internal/millis"
 	"aniseloft/internal/protocol/engine"
 	"aniseloft/internal/protocol/rest"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/store"
-	"aniseloft/internal/transport/listener"
 	"aniseloft/internal/transport/netconn"
 )
 
@@ -27,7 +27,7 @@
 
 // startQuery starts a query, or finds the existing one with the same idempotency key, and returns the answer
 // for its state.
-func (s *RESTServer) startQuery(ctx context.Context, c *listener.Conn, input *connInput, m rest.SubmitRequest, receivedAt time.Time) []byte {
+func (s *RESTServer) startQuery(ctx context.Context, c *restConn, m rest.SubmitRequest, receivedAt time.Time) []byte {
 
 	classIndex, class, err := s.admit(m, receivedAt)
 	if err != nil {
@@ -51,7 +51,7 @@
 		if existingRow.Digest != row.Digest {
 			return s.errorAnswer(errKeyReused)
 		}
-		input.release() // the statement is not needed any more
+		c.input.release() // the statement is not needed any more
 		return s.awaitEnd(ctx, existingRow, m.Host, 0, true)
 	}
 	if err := q.reserveSpool(row); err != nil {
@@ -59,9 +59,9 @@
 		q.end(store.StateRejected, nil, s.retryAfter(err))
 		return rejection(row.ID, s.retryAfter(err))
 	}
-	defer q.watchClient(c)()
-	q.submit(classIndex, m, deadline)
-	input.release() // the dispatcher counts the statement
+	defer q.watchClient(c.Conn)()
+	q.submit(classIndex, m, deadline, s.statementOwner(c))
+	c.input.release() // the dispatcher counts the statement
 	row.State = store.StateRunning
 	return s.awaitEnd(ctx, &row, m.Host, 0, true)
 }
@@ -120,9 +120,17 @@
 	return err
 }
 
+// statementOwner returns the account for the statements of a connection's queries.
+func (s *RESTServer) statementOwner(c *restConn) *memory.Account {
+	if c.statements == nil {
+		c.statements = s.Dispatcher.NewStatementOwner()
+	}
+	return c.statements
+}
+
 // submit submits the query to the dispatcher, unless it has been cancelled.
-func (q *restQuery) submit(classIndex int, m rest.SubmitRequest, deadline time.Time) {
-	query := routing.Query{CallID: q.id, Class: classIndex, Statement: m.Statement, Deadline: deadline, EstimatedWork: m.EstimatedWorkMS,
+func (q *restQuery) submit(classIndex int, m rest.SubmitRequest, deadline time.Time, owner *memory.Account) {
+	query := routing.Query{StatementOwner: owner, CallID: q.id, Class: classIndex, Statement: m.Statement, Deadline: deadline, EstimatedWork: m.EstimatedWorkMS,
 		EstimatedMemoryMB: m.EstimatedMemoryMB, IdempotencyKey: m.IdempotencyKey}
 	if q.spool != nil {
 		query.Sink = q
--- a/internal/transport/transporttest/transporttest.go
+++ b/internal/transport/transporttest/transporttest.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"aniseloft/decide"
+	"aniseloft/internal/memory"
 	"aniseloft/internal/routing"
 	"aniseloft/internal/transport/netconn"
 )
@@ -74,7 +75,7 @@
 func Dispatcher(t *testing.T, listed bool) (*routing.Dispatcher, *Endpoint) {
 	e := &Endpoint{Runs: make(chan chan routing.Result, 64)}
 	d, err := routing.NewDispatcher(decide.Settings{Balancers: 1, TickInterval: 5, MaxAttempts: 1, CancellationEnabled: true, Kinds: []decide.EndpointKind{{Cores: 16}},
-		Classes: []decide.Class{{Name: "look", LatencyObjective: 8000, Deadline: 10000, Threads: 1, PriorityWeight: 1}}}, 1, e, slog.New(slog.DiscardHandler), 1<<20)
+		Classes: []decide.Class{{Name: "look", LatencyObjective: 8000, Deadline: 10000, Threads: 1, PriorityWeight: 1}}}, 1, e, slog.New(slog.DiscardHandler), memory.NewBudget(1<<20, 4))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
