Unread answers: the connection that reads slowest pays once the memory is used up

Cause: the same as with half messages, on the way out: one budget for the unread answers of all clients; once it was used up, any connection with one answer queued was closed at its next.

Change: where the memory is used up, of all connections above an equal share the one is closed whose first answer has waited the longest. Counters output_memory. listener.Budget has no use any more.

--- a/internal/program/shutdown_test.go
+++ b/internal/program/shutdown_test.go
@@ -30,7 +30,7 @@
 	require.NoError(t, err)
 	p := &Program{dispatcher: dispatcher, log: log}
 	jsonRPCServer := &clients.JSONRPCServer{Dispatcher: dispatcher, Log: log, Drain: clients.DrainPolicy{Ready: p.ready, Draining: p.drain.draining},
-		Input: clients.NewInputMemory(1<<20, 4, jsonrpc.MaxLineBytes), OutputBudget: listener.NewBudget(1 << 20)}
+		Input: clients.NewInputMemory(1<<20, 4, jsonrpc.MaxLineBytes), Output: clients.NewOutputMemory(1<<20, 4)}
 	p.clientListener, err = listener.Listen("127.0.0.1:0", 4, log, jsonRPCServer.Serve)
 	require.NoError(t, err)
 	go p.clientListener.Run()
--- a/internal/program/start.go
+++ b/internal/program/start.go
@@ -135,8 +135,8 @@
 func (p *Program) listen(budget connectionBudget) error {
 	p.jsonRPCServer = &clients.JSONRPCServer{
 		Dispatcher: p.dispatcher, Log: p.log, Drain: p.drainPolicy(),
-		Input:        clients.NewInputMemory(p.memoryFraction(inputMemoryFraction), budget.maxClients, jsonrpc.MaxLineBytes),
-		OutputBudget: listener.NewBudget(p.memoryFraction(answerMemoryFraction)),
+		Input:  clients.NewInputMemory(p.memoryFraction(inputMemoryFraction), budget.maxClients, jsonrpc.MaxLineBytes),
+		Output: clients.NewOutputMemory(p.memoryFraction(answerMemoryFraction), budget.maxClients),
 	}
 	var err error
 	if p.clientListener, err = listener.Listen(p.config.Listen, budget.maxClients, p.log, p.jsonRPCServer.Serve); err != nil {
--- a/internal/program/status.go
+++ b/internal/program/status.go
@@ -34,6 +34,7 @@
 func (p *Program) describeMemory() string {
 	text := fmt.Sprintf("counters statement_memory %s\n", p.dispatcher.StatementMemory())
 	text += fmt.Sprintf("counters input_memory front=jsonrpc %s\n", p.jsonRPCServer.Input)
+	text += fmt.Sprintf("counters output_memory front=jsonrpc %s\n", p.jsonRPCServer.Output)
 	if p.restServer != nil {
 		text += fmt.Sprintf("counters input_memory front=rest %s\n", p.restServer.Input)
 	}
--- a/internal/transport/clients/jsonrpc.go
+++ b/internal/transport/clients/jsonrpc.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"aniseloft/internal/memory"
@@ -31,11 +30,11 @@
 
 // JSONRPCServer serves the platform's JSON-RPC protocol.
 type JSONRPCServer struct {
-	Dispatcher   *routing.Dispatcher
-	Drain        DrainPolicy
-	Input        *InputMemory     // for incomplete and unhandled messages of all clients
-	OutputBudget *listener.Budget // bytes of queued answers to all clients
-	Log          *slog.Logger
+	Dispatcher *routing.Dispatcher
+	Drain      DrainPolicy
+	Input      *InputMemory  // for incomplete and unhandled messages of all clients
+	Output     *OutputMemory // for queued answers to all clients
+	Log        *slog.Logger
 }
 
 // jsonrpcConn is one connection. Its reader, the goroutine of Serve, reads and handles messages; its
@@ -44,9 +43,9 @@
 	server *JSONRPCServer
 	conn   *listener.Conn
 	// answers is the writer's queue; queue sends to it and closes it, under mu.
-	answers     chan []byte
-	statements  *memory.Account // for the statements of the client's requests
-	queuedBytes atomic.Int64    // size of the answers in the queue, in bytes
+	answers    chan queuedAnswer
+	output     *connOutput
+	statements *memory.Account // for the statements of the client's requests
 
 	mu            sync.Mutex            // guards answersClosed and openRequests
 	answersClosed bool                  // nothing more may be queued
@@ -69,8 +68,9 @@
 
 // Serve serves one client until it disconnects or ctx ends.
 func (s *JSONRPCServer) Serve(ctx context.Context, c *listener.Conn) {
-	j := &jsonrpcConn{server: s, conn: c, answers: make(chan []byte, maxQueuedAnswers), openRequests: map[string]*responder{}, statements: s.Dispatcher.NewStatementOwner()}
+	j := &jsonrpcConn{server: s, conn: c, answers: make(chan queuedAnswer, maxQueuedAnswers), openRequests: map[string]*responder{}, statements: s.Dispatcher.NewStatementOwner()}
 	j.input = s.Input.forConn(c)
+	j.output = s.Output.forConn(func() { _ = c.Close() })
 	buffered := netconn.New(c, netconn.SmallBuffer)
 	writerEnded := make(chan struct{})
 	go func() { defer close(writerEnded); j.writeAnswers(buffered) }()
--- a/internal/transport/clients/jsonrpc_test.go
+++ b/internal/transport/clients/jsonrpc_test.go
@@ -26,7 +26,7 @@
 func jsonrpcServer(t *testing.T, listed bool) (*JSONRPCServer, *transporttest.Endpoint) {
 	d, e := transporttest.Dispatcher(t, listed)
 	return &JSONRPCServer{Dispatcher: d, Drain: DrainPolicy{Ready: func() bool { return true }},
-		Input: NewInputMemory(4<<20, 4, jsonrpc.MaxLineBytes), OutputBudget: listener.NewBudget(4 << 20), Log: slog.New(slog.DiscardHandler)}, e
+		Input: NewInputMemory(4<<20, 4, jsonrpc.MaxLineBytes), Output: NewOutputMemory(4<<20, 4), Log: slog.New(slog.DiscardHandler)}, e
 }
 
 // newListener returns a listener for connections that the test passes to ServeConn; no test connects to its own address.
--- a/internal/transport/clients/jsonrpcwriter.go
+++ b/internal/transport/clients/jsonrpcwriter.go
@@ -13,30 +13,34 @@
 	jsonrpcWriteTimeout = 5 * time.Second
 )
 
+// queuedAnswer is an encoded answer that waits for a connection's writer.
+type queuedAnswer struct {
+	bytes    []byte
+	queuedAt time.Time
+}
+
 func (j *jsonrpcConn) send(answer []byte) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.queue(answer)
 }
 
-// queue queues an answer for the writer and never waits. Where the connection's queue is full, or the
-// output budget is exceeded and this connection has answers queued already, the client does not read
-// its answers and is disconnected. The caller holds j.mu.
+// queue queues an answer for the writer and never waits. Where the connection's queue is full, its client does not read
+// its answers and is disconnected; where the memory for answers is used up, another connection may be. The caller
+// holds j.mu.
 func (j *jsonrpcConn) queue(answer []byte) {
 	if j.answersClosed {
 		return
 	}
-	budget := j.server.OutputBudget
-	if budget.Adjust(0, len(answer)) || j.queuedBytes.Load() == 0 {
-		j.queuedBytes.Add(int64(len(answer)))
+	now := time.Now()
+	if j.output.add(len(answer), now) {
 		select {
-		case j.answers <- answer:
+		case j.answers <- queuedAnswer{answer, now}:
 			return
 		default:
-			j.queuedBytes.Add(-int64(len(answer)))
+			j.output.remove(len(answer))
 		}
 	}
-	budget.Adjust(len(answer), 0)
 	j.answersClosed = true
 	close(j.answers)
 	_ = j.conn.Close()
@@ -48,13 +52,13 @@
 	var err error
 	for answer := range j.answers {
 		if err == nil {
-			err = j.write(bufferedConn, answer)
+			j.output.begin(answer.queuedAt)
+			err = j.write(bufferedConn, answer.bytes)
 		}
 		if err != nil {
 			_ = j.conn.Close()
 		}
-		j.queuedBytes.Add(-int64(len(answer)))
-		j.server.OutputBudget.Adjust(len(answer), 0)
+		j.output.remove(len(answer.bytes))
 	}
 	_ = bufferedConn.Flush()
 }
