--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -7,9 +7,9 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against refusing an owner below its equal share because others have used the budget up.
-func TestShareIsGuaranteedWhenOthersUseThePoolUp(t *testing.T) {
-	const limit, owners, share = 4000, 10, 200
+// Guards against refusing an owner below its equal quota because others have used the budget up.
+func TestQuotaIsGuaranteedWhenOthersUseThePoolUp(t *testing.T) {
+	const limit, owners, quota = 4000, 10, 200
 	b := NewBudget(limit, owners)
 	for range owners - 1 {
 		hog := b.NewAccount()
@@ -20,7 +20,7 @@
 		}
 	}
 	late := b.NewAccount()
-	for range share / 50 {
+	for range quota / 50 {
 		_, ok := late.Reserve(50)
 		require.True(t, ok)
 	}
@@ -36,7 +36,7 @@
 	require.False(t, ok, "half of the pool")
 	_, ok = other.Reserve(200 + 500)
 	require.True(t, ok)
-	require.Equal(t, "used=1900 limit=4000 refused=1", b.String())
+	require.Equal(t, "used=1900 limit=4000 rejected=1", b.String())
 }
 
 // A reservation that outlives its owner still counts; where owners come again and again the total stays within the budget.
--- a/internal/protocol/httpmsg/parser.go
+++ b/internal/protocol/httpmsg/parser.go
@@ -63,14 +63,14 @@
 // Buffered returns the received bytes after the last message that Next returned.
 func (p *Parser) Buffered() []byte { return p.buffer }
 
-// Held returns the size in bytes of the unfinished message that the parser holds: its head, the chunks of its body, and
+// BufferedSize returns the size in bytes of the unfinished message that the parser holds: its head, the chunks of its body, and
 // what is not parsed yet.
-func (p *Parser) Held() int {
-	held := len(p.buffer) + p.headBytes
+func (p *Parser) BufferedSize() int {
+	size := len(p.buffer) + p.headBytes
 	if p.message != nil {
-		held += len(p.message.Body)
+		size += len(p.message.Body)
 	}
-	return held
+	return size
 }
 
 // Next returns the next complete message, or nil while more bytes are needed. Errors are ErrTooLarge and ErrMalformed,
--- a/internal/protocol/httpmsg/parser_test.go
+++ b/internal/protocol/httpmsg/parser_test.go
@@ -57,17 +57,17 @@
 }
 
 // Guards against holding bytes of an unfinished message that are not counted, such as the chunks of a body.
-func TestHeldCountsHeadAndChunks(t *testing.T) {
+func TestBufferedSizeCountsHeadAndChunks(t *testing.T) {
 	head := "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	p := NewRequestParser(100)
-	held := func(b string) int {
+	bufferedAfter := func(b string) int {
 		p.Feed([]byte(b))
 		_, err := p.Next()
 		require.NoError(t, err)
-		return p.Held()
+		return p.BufferedSize()
 	}
-	require.Equal(t, len(head), held(head))
-	require.Equal(t, len(head)+len("abcd"), held("4\r\nabcd\r\n"))
-	require.Equal(t, len(head)+len("abcd")+len("ef"), held("3\r\nef"))
-	require.Zero(t, held("g\r\n0\r\n\r\n"))
+	require.Equal(t, len(head), bufferedAfter(head))
+	require.Equal(t, len(head)+len("abcd"), bufferedAfter("4\r\nabcd\r\n"))
+	require.Equal(t, len(head)+len("abcd")+len("ef"), bufferedAfter("3\r\nef"))
+	require.Zero(t, bufferedAfter("g\r\n0\r\n\r\n"))
 }
--- a/internal/protocol/rest/request.go
+++ b/internal/protocol/rest/request.go
@@ -89,8 +89,8 @@
 // MaxRequestBytes bounds a request: its head, its statement and the bytes of the read that completes it.
 const MaxRequestBytes = httpmsg.MaxHeadBytes + MaxStatementBytes
 
-// Held returns the size of the unfinished request in bytes.
-func (p *RequestParser) Held() int { return p.parser.Held() }
+// BufferedSize returns the size of the unfinished request in bytes.
+func (p *RequestParser) BufferedSize() int { return p.parser.BufferedSize() }
 
 // Feed takes bytes and returns the requests that they complete. After an error of httpmsg the connection cannot be
 // used any more; the last request is then an InvalidRequest with the error response.
--- a/internal/transport/clients/inputmemory_test.go
+++ b/internal/transport/clients/inputmemory_test.go
@@ -22,7 +22,7 @@
 	return `{"jsonrpc":"2.0","method":"alive","params":"` + strings.Repeat("x", size) + `","id":` + id + "}\n"
 }
 
-// oneLargeMessage returns memory in which one connection of four may hold more than its share, of 37 KB.
+// oneLargeMessage returns memory in which one connection of four may hold more than its quota, of 37 KB.
 func oneLargeMessage() *InputMemory {
 	return NewInputMemory(300<<10, 4, jsonrpc.MaxLineBytes)
 }
@@ -42,8 +42,8 @@
 	return line
 }
 
-// Guards against a close of a connection whose message is within its share while others hold all other memory.
-func TestMessageWithinShareNeedsNoFreeMemory(t *testing.T) {
+// Guards against a close of a connection whose message is within its quota while others hold all other memory.
+func TestMessageWithinQuotaNeedsNoFreeMemory(t *testing.T) {
 	jsonRPC, _ := jsonrpcServer(t, false)
 	jsonRPC.Input = oneLargeMessage()
 	require.True(t, jsonRPC.Input.largeMessages.TryAcquire(1), "another client has used it up")
@@ -103,8 +103,8 @@
 	require.Eventually(t, func() bool { return srv.Dispatcher.OpenRequests() == 0 && srv.Input.waiting.Load() == 0 }, transporttest.WaitTimeout, time.Millisecond)
 }
 
-// A message that waits for too long is refused under its id, and neither its connection nor an open request is lost.
-func TestMessageWithoutMemoryIsRefused(t *testing.T) {
+// A message that waits for too long is rejected under its id, and neither its connection nor an open request is lost.
+func TestMessageWithoutMemoryIsRejected(t *testing.T) {
 	srv, _ := jsonrpcServer(t, false)
 	srv.Input = oneLargeMessage()
 	require.True(t, srv.Input.largeMessages.TryAcquire(1))
@@ -114,11 +114,11 @@
 	transporttest.Write(t, client, aliveLine("3", 0))
 	require.Contains(t, readLine(t, client), `"id":3,"result"`)
 	require.EqualValues(t, 1, srv.Dispatcher.OpenRequests())
-	require.Equal(t, "share=38400 large=0 large_limit=1 waiting=0 waits=1 refused=1", srv.Input.String())
+	require.Equal(t, "quota=38400 large=0 large_limit=1 waiting=0 waits=1 rejected=1", srv.Input.String())
 }
 
-// A refused message with the id of an open request gets one error, and the open request is withdrawn, as with any message.
-func TestRefusedMessageWithIDInUse(t *testing.T) {
+// A rejected message with the id of an open request gets one error, and the open request is withdrawn, as with any message.
+func TestRejectedMessageWithIDInUse(t *testing.T) {
 	srv, _ := jsonrpcServer(t, false)
 	srv.Input = oneLargeMessage()
 	require.True(t, srv.Input.largeMessages.TryAcquire(1))
@@ -129,7 +129,7 @@
 	require.Zero(t, srv.Dispatcher.OpenRequests())
 }
 
-// Where a message without an id finds no memory, and no request is open beside it, it is given up like any that is overdue.
+// Where a message without an id finds no memory, and no request is open beside it, it is dropped like any that is overdue.
 func TestMessageWithoutIDWaitsUntilItIsOverdue(t *testing.T) {
 	srv, _ := jsonrpcServer(t, false)
 	srv.Input = oneLargeMessage()
@@ -141,8 +141,8 @@
 	require.Zero(t, srv.Input.waiting.Load())
 }
 
-// A REST request without memory is refused with a time to come back.
-func TestRESTRequestWithoutMemoryIsRefused(t *testing.T) {
+// A REST request without memory is rejected with a time to come back.
+func TestRESTRequestWithoutMemoryIsRejected(t *testing.T) {
 	jsonRPC, _ := jsonrpcServer(t, false)
 	restServer := &RESTServer{Dispatcher: jsonRPC.Dispatcher, Input: oneLargeMessage(), Log: slog.New(slog.DiscardHandler)}
 	require.True(t, restServer.Input.largeMessages.TryAcquire(1))
@@ -154,7 +154,7 @@
 	require.Contains(t, string(answer), "Retry-After: 1\r\n")
 }
 
-// Invalid messages that wait to be handled use memory beyond the share only while no other connection waits for it.
+// Invalid messages that wait to be handled use memory beyond the quota only while no other connection waits for it.
 func TestFloodLeavesMemoryToOthers(t *testing.T) {
 	srv, _ := jsonrpcServer(t, false)
 	srv.Input = oneLargeMessage()
@@ -162,7 +162,7 @@
 	flooding, waiting := serveClient(t, l), serveClient(t, l)
 	transporttest.Write(t, flooding, strings.Repeat(floodLine, floodLines))
 	require.Eventually(t, func() bool { return srv.Input.inUse.Load() == 1 }, transporttest.WaitTimeout, time.Millisecond)
-	go func() { // keeps the flood at the size that is above the share
+	go func() { // keeps the flood at the size that is above the quota
 		for {
 			if _, err := io.WriteString(flooding, strings.Repeat(floodLine, 10)); err != nil {
 				return
@@ -173,7 +173,7 @@
 	go func() { _, _ = io.Copy(io.Discard, flooding) }()
 	transporttest.Write(t, waiting, aliveLine("1", largeMessage))
 	require.Contains(t, readLine(t, waiting), `"pass":true`)
-	require.Zero(t, srv.Input.refused.Load())
+	require.Zero(t, srv.Input.rejected.Load())
 }
 
 // A request's head and the chunks of its body count as held; a client that stops after them is closed like any other
--- a/internal/transport/clients/jsonrpc.go
+++ b/internal/transport/clients/jsonrpc.go
@@ -99,7 +99,7 @@
 		err = j.parse(b, readAt, false)
 		for len(j.pendingBatches) > 0 {
 			j.handleBatch(j.takePendingBatch())
-			j.input.shrink(j.heldBytes())
+			j.input.shrink(j.bufferedBytes())
 			if err == nil && j.rejectedSincePause {
 				err = j.pauseHandling(ctx, bufferedConn)
 			}
@@ -111,24 +111,24 @@
 }
 
 // reserveInput makes room for bytes that have been read. Where there is none for a while, the message that they belong to
-// is discarded, and refused at its end.
+// is discarded, and rejected at its end.
 func (j *jsonrpcConn) reserveInput(readSize int) error {
 	if j.parser.Discarding() {
 		return nil
 	}
-	err := j.input.reserve(j.heldBytes()+readSize, inputMaxWait)
+	err := j.input.reserve(j.bufferedBytes()+readSize, inputMaxWait)
 	if !errors.Is(err, errInputMemoryInUse) {
 		return err
 	}
 	if j.parser.Discard() {
-		j.input.memory.refused.Add(1)
+		j.input.memory.rejected.Add(1)
 		return nil
 	}
-	return j.input.reserve(j.heldBytes()+readSize, anonymousMaxWait)
+	return j.input.reserve(j.bufferedBytes()+readSize, anonymousMaxWait)
 }
 
-// heldBytes returns the size of the connection's incomplete and unhandled messages.
-func (j *jsonrpcConn) heldBytes() int { return j.parser.Buffered() + j.pendingSize }
+// bufferedBytes returns the size of the connection's incomplete and unhandled messages.
+func (j *jsonrpcConn) bufferedBytes() int { return j.parser.Buffered() + j.pendingSize }
 
 // takePendingBatch removes the first pending batch and returns it. It leaves no reference to its messages behind: a
 // connection must not keep statements that it has submitted.
@@ -168,7 +168,7 @@
 	j.conn.AddUnhandled(len(latestBatch.messages))
 	j.pendingSize += latestBatch.size
 	j.pendingBatches = append(j.pendingBatches, latestBatch)
-	if err == nil && duringPause && j.heldBytes() > jsonrpc.MaxLineBytes+netconn.SmallBuffer {
+	if err == nil && duringPause && j.bufferedBytes() > jsonrpc.MaxLineBytes+netconn.SmallBuffer {
 		err = errTooMuchUnhandled
 	}
 	return err
@@ -180,7 +180,7 @@
 	j.rejectedSincePause = false
 	pauseEnd := time.Now().Add(rejectionPause)
 	for {
-		if !j.input.tryReserve(j.heldBytes() + netconn.SmallBuffer) {
+		if !j.input.tryReserve(j.bufferedBytes() + netconn.SmallBuffer) {
 			return j.pauseReading(ctx, pauseEnd)
 		}
 		b, err := bufferedConn.Read(ctx, pauseEnd)
--- a/internal/transport/clients/outputmemory.go
+++ b/internal/transport/clients/outputmemory.go
@@ -8,12 +8,12 @@
 
 // OutputMemory limits the size of the answers that are queued for the clients of a listener.
 //
-// Each connection may hold an equal share. Where all together exceed the limit, a connection that holds more than its
-// share pays: the one whose first answer has waited the longest to be read, and not the one that gets the next answer,
+// Each connection may hold an equal quota. Where all together exceed the limit, a connection that holds more than its
+// quota pays: the one whose first answer has waited the longest to be read, and not the one that gets the next answer,
 // whose client may read everything at once.
 type OutputMemory struct {
 	limit int // bytes
-	share int // bytes that a connection may hold whatever others do
+	quota int // bytes that a connection may hold whatever others do
 
 	mu      sync.Mutex // guards the fields below and those of all connOutputs
 	used    int        // bytes
@@ -32,14 +32,14 @@
 
 // NewOutputMemory returns memory of limit bytes for the answers to at most maxConnections clients.
 func NewOutputMemory(limit int64, maxConnections int) *OutputMemory {
-	return &OutputMemory{limit: int(limit), share: int(limit) / max(maxConnections, 1), holding: map[*connOutput]struct{}{}}
+	return &OutputMemory{limit: int(limit), quota: int(limit) / max(maxConnections, 1), holding: map[*connOutput]struct{}{}}
 }
 
 // String returns the counters for operators.
 func (m *OutputMemory) String() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return fmt.Sprintf("share=%d used=%d limit=%d closed=%d", m.share, m.used, m.limit, m.evicted)
+	return fmt.Sprintf("quota=%d used=%d limit=%d closed=%d", m.quota, m.used, m.limit, m.evicted)
 }
 
 func (m *OutputMemory) forConn(disconnect func()) *connOutput {
@@ -71,10 +71,10 @@
 	return !o.isEvicted
 }
 
-// chooseVictim returns the connection above its share whose first answer has waited the longest. The caller holds m.mu.
+// chooseVictim returns the connection above its quota whose first answer has waited the longest. The caller holds m.mu.
 func (m *OutputMemory) chooseVictim() (victim *connOutput) {
 	for o := range m.holding {
-		if o.bytes > m.share && (victim == nil || o.firstAt.Before(victim.firstAt)) {
+		if o.bytes > m.quota && (victim == nil || o.firstAt.Before(victim.firstAt)) {
 			victim = o
 		}
 	}
--- a/internal/transport/clients/outputmemory_test.go
+++ b/internal/transport/clients/outputmemory_test.go
@@ -15,7 +15,7 @@
 	open := func(name string) *connOutput { return m.forConn(func() { closed[name]++ }) }
 	slowest, slow, prompt, small := open("slowest"), open("slow"), open("prompt"), open("small")
 	start := time.Now()
-	require.True(t, small.add(m.share, start.Add(-time.Minute)), "within its share, for however long")
+	require.True(t, small.add(m.quota, start.Add(-time.Minute)), "within its quota, for however long")
 	require.True(t, slow.add(300, start.Add(-time.Second)))
 	require.True(t, slowest.add(300, start.Add(-2*time.Second)))
 	for range 4 {
@@ -24,14 +24,14 @@
 	require.Equal(t, map[string]int{"slowest": 1}, closed)
 	require.False(t, slowest.add(1, start))
 	slowest.remove(300) // its writer ends; what it held was given back by the eviction
-	require.Equal(t, "share=100 used=1000 limit=1000 closed=1", m.String())
+	require.Equal(t, "quota=100 used=1000 limit=1000 closed=1", m.String())
 
 	slow.begin(start.Add(-time.Second / 2))
 	require.True(t, prompt.add(1, start))
 	require.Equal(t, map[string]int{"slowest": 1, "slow": 1}, closed)
 	prompt.remove(601)
-	small.remove(m.share)
-	require.Equal(t, "share=100 used=0 limit=1000 closed=2", m.String())
+	small.remove(m.quota)
+	require.Equal(t, "quota=100 used=0 limit=1000 closed=2", m.String())
 	require.Empty(t, m.holding)
 }
 
@@ -43,5 +43,5 @@
 	require.True(t, o.add(1000, time.Now()))
 	require.False(t, o.add(1, time.Now()))
 	require.True(t, isClosed)
-	require.Equal(t, "share=100 used=0 limit=1000 closed=1", m.String())
+	require.Equal(t, "quota=100 used=0 limit=1000 closed=1", m.String())
 }
--- a/internal/transport/clients/rest.go
+++ b/internal/transport/clients/rest.go
@@ -94,19 +94,19 @@
 		if err != nil {
 			return
 		}
-		if err := c.input.reserve(parser.Held()+len(b), inputMaxWait); err != nil {
-			s.refuseUnread(ctx, c, err)
+		if err := c.input.reserve(parser.BufferedSize()+len(b), inputMaxWait); err != nil {
+			s.rejectUnread(ctx, c, err)
 			return
 		}
 		messages, err := parser.Feed(b)
-		c.RecordRead(len(messages) > 0, parser.Held() > 0)
+		c.RecordRead(len(messages) > 0, parser.BufferedSize() > 0)
 		for i, msg := range messages {
 			messages[i] = nil // its statement is not kept while the client waits for the result
 			if closeAfter, ok := s.exchange(ctx, c, msg, readAt); !ok || closeAfter && err == nil {
 				return
 			}
 		}
-		c.input.shrink(parser.Held())
+		c.input.shrink(parser.BufferedSize())
 		if err != nil {
 			c.input.release()
 			netconn.Linger(c.Conn.Conn, badRequestLinger)
@@ -115,14 +115,14 @@
 	}
 }
 
-// refuseUnread refuses a request for which there is no memory. Its connection can't be used any more, as the rest of the
+// rejectUnread rejects a request for which there is no memory. Its connection can't be used any more, as the rest of the
 // request is not read.
-func (s *RESTServer) refuseUnread(ctx context.Context, c *restConn, err error) {
+func (s *RESTServer) rejectUnread(ctx context.Context, c *restConn, err error) {
 	s.Log.Debug("client connection closed", "err", err)
 	if !errors.Is(err, errInputMemoryInUse) {
 		return
 	}
-	c.input.memory.refused.Add(1)
+	c.input.memory.rejected.Add(1)
 	answer := rejection(newToken(), s.maxRetryAfter())
 	if c.buffered.Write(context.WithoutCancel(ctx), answer, time.Now().Add(restWriteTimeout)) == nil {
 		netconn.Linger(c.Conn.Conn, badRequestLinger)
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -44,7 +44,7 @@
 	sentMessage      bool      // the client has sent a complete message
 	openRequestCount int       // number of unanswered requests
 	unhandledCount   int       // number of messages that are read and not yet handled
-	holdsExtraMemory bool      // the incomplete or unhandled messages use memory beyond the connection's share
+	exceedsQuota     bool      // the incomplete or unhandled messages use memory beyond the connection's quota
 	closing          bool      // this side has begun to close the connection
 	evicted          bool      // the close makes room for another connection
 }
@@ -108,11 +108,11 @@
 	c.unhandledCount += n
 }
 
-// SetHoldsExtraMemory records whether the connection's messages use memory beyond its share, which others may wait for.
-func (c *Conn) SetHoldsExtraMemory(holds bool) {
+// SetExceedsQuota records whether the connection's messages use memory beyond its quota, for which others may wait.
+func (c *Conn) SetExceedsQuota(exceeds bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.holdsExtraMemory = holds
+	c.exceedsQuota = exceeds
 }
 
 // MessageOverdue reports whether the client has no open request and has been sending its message for too long.
@@ -269,5 +269,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok = c.idleSinceLocked()
-	return at, ok && c.holdsExtraMemory
+	return at, ok && c.exceedsQuota
 }
--- a/internal/transport/listener/eviction.go
+++ b/internal/transport/listener/eviction.go
@@ -32,13 +32,13 @@
 	return true
 }
 
-// stalledSender is a connection that holds extra memory and is idle.
+// stalledSender is a connection that exceeds its quota of memory and is idle.
 type stalledSender struct {
 	conn  *Conn
 	since time.Time
 }
 
-// evictStalledSenders evicts up to count connections that hold extra memory for a message and have been idle for
+// evictStalledSenders evicts up to count connections that exceed their quota of memory for a message and have been idle for
 // minEvictionAge, those that are idle longest first. It does nothing if it ran less than minEvictionAge ago, as many
 // connections may wait for memory at a time.
 func (l *Listener) evictStalledSenders(count int) {
