--- a/cmd/aniseloft/memory_test.go
+++ b/cmd/aniseloft/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,18 +120,21 @@
 // go after 100 ms and come back, until end.
 func sendLargeRequestsAndGo(addr string, count int, end time.Time) {
 	const requests = 4
+	doc := base64.StdEncoding.EncodeToString([]byte("select '" + strings.Repeat("x", 175_000) + "'"))
+	var lastCall atomic.Int64
 	var all sync.WaitGroup
-	for n := range count {
+	for range count {
 		all.Go(func() {
-			for visit := 0; time.Now().Before(end); visit++ {
+			for time.Now().Before(end) {
 				c, err := net.Dial("tcp", addr)
 				if err != nil {
 					continue
 				}
 				go func() {
 					for id := range requests {
-						line := queryLine(id+1, "trip-lookup", fmt.Sprintf("select '%s' -- %d %d %d", strings.Repeat("x", 175_000), n, visit, id), 2500)
-						if _, err := io.WriteString(c, line+"\n"); err != nil {
+						line := fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":"trip-lookup","params":{"call":"%016x","ttl":2500,"work":500,"ram":4,"doc":"%s"}}`+"\n",
+							id+1, lastCall.Add(1), doc)
+						if _, err := io.WriteString(c, line); err != nil {
 							return
 						}
 					}
