Unhandled messages: the bound is what a line may hold again, and not 2 KB more

Cause: counted the messages of a pause by their size and let them take 2 KB above jsonrpc.MaxLineBytes before the connection is closed.

Result: TestFloodBeyondMaxLineIsCutOff and the other tests of the package pass.

--- a/internal/transport/clients/jsonrpc.go
+++ b/internal/transport/clients/jsonrpc.go
@@ -168,7 +168,7 @@
 	j.conn.AddUnhandled(len(latestBatch.messages))
 	j.pendingSize += latestBatch.size
 	j.pendingBatches = append(j.pendingBatches, latestBatch)
-	if err == nil && duringPause && j.bufferedBytes() > jsonrpc.MaxLineBytes+netconn.SmallBuffer {
+	if err == nil && duringPause && j.bufferedBytes() > jsonrpc.MaxLineBytes {
 		err = errTooMuchUnhandled
 	}
 	return err
