Tests: the flood's check that memory is given back looks at memory that was used

Cause: replaced the check that the input budget is free again at the end of TestFloodBeyondMaxLineIsCutOff by one of the memory for large messages. With four connections and 4 MB the flood stayed within its quota of 512 KB, so none of that memory was ever used and the check could not fail.

--- a/internal/transport/clients/jsonrpc_test.go
+++ b/internal/transport/clients/jsonrpc_test.go
@@ -122,6 +122,7 @@
 // before.
 func TestFloodBeyondMaxLineIsCutOff(t *testing.T) {
 	srv, _ := jsonrpcServer(t, false)
+	srv.Input = NewInputMemory(4<<20, 64, jsonrpc.MaxLineBytes) // the quota is below the maximum line length
 	l := newListener(t, 4, srv.Serve)
 	client, server := transporttest.ConnPair(t)
 	go func() { // ends when the connection is closed
@@ -132,6 +133,7 @@
 		}
 	}()
 	l.ServeConn(server)
+	require.Eventually(t, func() bool { return srv.Input.inUse.Load() == 1 }, transporttest.WaitTimeout, 100*time.Microsecond)
 	n, err := io.Copy(io.Discard, client)
 	require.Positive(t, n)
 	if err != nil {
