--- a/cmd/aniseloft/admin_test.go
+++ b/cmd/aniseloft/admin_test.go
@@ -173,9 +173,7 @@
 	t.Parallel()
 	e, j := newFakeEngine(t, false), newFakeJournal(t)
 	j.add(true, serverEntry(1, e, "active"))
-	p := &coordinator{t: t, dir: testdir.Dir(t), clientAddr: freeAddress(t), adminAddr: freeAddress(t), maxSockets: 384, log: &bytes.Buffer{}}
-	p.configure(j)
-	p.start(os.Environ())
+	p := startWithSockets(t, j, 384, false)
 	var slowCallers []net.Conn
 	for range 24 { // more than the admin address admits (8 of 384 descriptors): the oldest are closed
 		c, err := net.Dial("tcp", p.adminAddr)
--- a/cmd/aniseloft/coordinator_test.go
+++ b/cmd/aniseloft/coordinator_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"aniseloft/internal/emulator/loopback"
+	"aniseloft/internal/testdir"
 )
 
 // firstSettings are the settings of most tests. secondSettings differ from them in every switch.
@@ -90,9 +91,27 @@
 	return startWithSettings(t, dir, j, storePath, keepSeconds, spoolJSON, "")
 }
 
+// newCoordinator returns a coordinator with addresses of its own, which is not configured yet.
+func newCoordinator(t *testing.T, dir string) *coordinator {
+	return &coordinator{t: t, dir: dir, clientAddr: freeAddress(t), adminAddr: freeAddress(t), log: &bytes.Buffer{}}
+}
+
+// startWithSockets starts the program with a limit of file descriptors, of which clients get a third.
+func startWithSockets(t *testing.T, j *fakeJournal, maxSockets int, withREST bool) *coordinator {
+	p := newCoordinator(t, testdir.Dir(t))
+	p.maxSockets = maxSockets
+	p.configure(j)
+	if withREST {
+		p.writeRESTConfig(filepath.Join(p.dir, "record.db"), 600, `{}`)
+	}
+	p.start(os.Environ())
+	return p
+}
+
 // startWithSettings starts the program like startWithSpool, with settings instead of firstSettings unless they are empty.
 func startWithSettings(t *testing.T, dir string, j *fakeJournal, storePath string, keepSeconds int, spoolJSON, settings string) *coordinator {
-	p := &coordinator{t: t, dir: dir, clientAddr: freeAddress(t), adminAddr: freeAddress(t), log: &bytes.Buffer{}, settings: settings}
+	p := newCoordinator(t, dir)
+	p.settings = settings
 	p.configure(j)
 	if storePath != "" {
 		p.writeRESTConfig(storePath, keepSeconds, spoolJSON)
--- a/cmd/aniseloft/lifecycle_test.go
+++ b/cmd/aniseloft/lifecycle_test.go
@@ -275,7 +275,7 @@
 func startAndKill(t *testing.T, count int, j *fakeJournal) []*coordinator {
 	var coordinators []*coordinator
 	for range count {
-		p := &coordinator{t: t, dir: testdir.Dir(t), clientAddr: freeAddress(t), adminAddr: freeAddress(t), log: &bytes.Buffer{}}
+		p := newCoordinator(t, testdir.Dir(t))
 		p.configure(j)
 		coordinators = append(coordinators, p)
 	}
--- a/cmd/aniseloft/memory_test.go
+++ b/cmd/aniseloft/memory_test.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"bytes"
 	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,8 +13,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"aniseloft/internal/testdir"
 )
 
 // sendHalfMessages opens count connections that each send the beginning of a message and then size bytes of it, in
@@ -41,7 +36,7 @@
 }
 
 // Guards against closing a JSON-RPC client's connection, and with it its open requests, because others have used up the
-// memory for incomplete messages. A message above the equal share of that memory is served or refused.
+// memory for incomplete messages. A message above the equal quota of that memory is served or rejected.
 func TestHalfMessagesOfOthersCloseNoConnection(t *testing.T) {
 	t.Parallel()
 	e, j := newFakeEngine(t, false), newFakeJournal(t)
@@ -199,14 +194,3 @@
 	r.sent += n
 	return n, nil
 }
-
-// startWithSockets starts the program with a limit of file descriptors, of which clients get a third.
-func startWithSockets(t *testing.T, j *fakeJournal, maxSockets int, withREST bool) *coordinator {
-	p := &coordinator{t: t, dir: testdir.Dir(t), clientAddr: freeAddress(t), adminAddr: freeAddress(t), maxSockets: maxSockets, log: &bytes.Buffer{}}
-	p.configure(j)
-	if withREST {
-		p.writeRESTConfig(filepath.Join(p.dir, "record.db"), 600, `{}`)
-	}
-	p.start(os.Environ())
-	return p
-}
--- a/cmd/aniseloft/postgres_test.go
+++ b/cmd/aniseloft/postgres_test.go
@@ -18,12 +18,7 @@
 	require.Equal(t, "a\tb\tc\n", text)
 	open := p.post("timetable-load", "k2", "stay")
 	require.Equal(t, 409, p.post("timetable-load", "k2", "other").status)
-	full := p.post("trip-lookup", "k3", "full")
-	if full.status != 429 { // three attempts take 0.4 s, and a process without a processor longer than an answer is held
-		require.Equal(t, "RUNNING", full.Stats.State)
-		full, _ = followPages(t, full)
-	}
-	require.Equal(t, "QUERY_QUEUE_FULL", full.Error.ErrorName)
+	require.True(t, isRejected(t, p.post("trip-lookup", "k3", "full")))
 	require.Equal(t, 3, e.count(&e.attempts, "full"))
 	p.kill()
 	q := startWithStore(t, p.dir, j, dsn)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -40,14 +40,16 @@
 func (b *Budget) Used() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.limit - b.freeGuaranteed - b.freePool
+	return b.usedLocked()
 }
 
+func (b *Budget) usedLocked() int { return b.limit - b.freeGuaranteed - b.freePool }
+
 // String returns the budget's counters for operators: bytes in use, their limit, and rejected reservations.
 func (b *Budget) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return fmt.Sprintf("used=%d limit=%d rejected=%d", b.limit-b.freeGuaranteed-b.freePool, b.limit, b.rejected)
+	return fmt.Sprintf("used=%d limit=%d rejected=%d", b.usedLocked(), b.limit, b.rejected)
 }
 
 // Account is what one owner holds of a budget. It is safe for concurrent use.
--- a/internal/program/budget.go
+++ b/internal/program/budget.go
@@ -16,8 +16,8 @@
 // Fractions of the memory limit. The rest is for the program's other memory and garbage that is not yet collected.
 const (
 	runtimeMemoryFraction   = 0.75     // memory limit of the Go runtime
-	inputMemoryFraction     = 1.0 / 16 // for the incomplete messages of all clients of a listener
-	statementMemoryFraction = 1.0 / 8  // for the statements of open requests
+	inputMemoryFraction     = 1.0 / 16 // for the incomplete and unhandled messages of all clients of a listener
+	statementMemoryFraction = 1.0 / 8  // for the statements of submitted requests
 	answerMemoryFraction    = 1.0 / 8  // for answers that clients have not read yet
 	resultMemoryFraction    = 1.0 / 4  // for results in flight, assuming that each has the maximum size
 	spoolMemoryFraction     = 1.0 / 4  // maximum size of a spool in memory
--- a/internal/protocol/rest/request.go
+++ b/internal/protocol/rest/request.go
@@ -86,7 +86,7 @@
 	return &RequestParser{httpmsg.NewRequestParser(MaxStatementBytes)}
 }
 
-// MaxRequestBytes bounds a request: its head, its statement and the bytes of the read that completes it.
+// MaxRequestBytes bounds a request: its head and its statement.
 const MaxRequestBytes = httpmsg.MaxHeadBytes + MaxStatementBytes
 
 // BufferedSize returns the size of the unfinished request in bytes.
--- a/internal/routing/dispatcher.go
+++ b/internal/routing/dispatcher.go
@@ -20,8 +20,8 @@
 
 // Dispatcher owns the balancer and all open requests.
 //
-// The goroutine of Run owns all fields except the atomics, the channels and the overrides, which have
-// their own lock. Other goroutines access the state by posting events. The dispatcher starts
+// The goroutine of Run owns all fields except the atomics, the channels, and the overrides and the
+// memory of statements, which have their own lock. Other goroutines access the state by posting events. The dispatcher starts
 // one goroutine for each attempt, priority change and probe. Each of them is bounded by its own timeout;
 // attempts and probes post their result. Timers post events as well.
 //
--- a/internal/transport/clients/close_test.go
+++ b/internal/transport/clients/close_test.go
@@ -46,7 +46,8 @@
 			return srv.Serve
 		}, `{"jsonrpc":"2.0","id":1,"method":"alive"}` + "\n", `"pass":true`},
 		{"rest", func(draining func() bool) func(context.Context, *listener.Conn) {
-			srv := &RESTServer{Drain: DrainPolicy{Ready: func() bool { return true }, Draining: draining}, Input: NewInputMemory(1<<20, 4, rest.MaxRequestBytes), Log: slog.New(slog.DiscardHandler)}
+			srv := restServer(t, NewInputMemory(1<<20, 4, rest.MaxRequestBytes))
+			srv.Drain.Draining = draining
 			return srv.Serve
 		}, "GET /v1/info HTTP/1.1\r\nHost: a\r\n\r\n", `"starting":false`},
 	}
--- a/internal/transport/clients/inputmemory.go
+++ b/internal/transport/clients/inputmemory.go
@@ -16,8 +16,6 @@
 const (
 	// inputQuotaDivisor is the part of the memory for messages that is divided equally among the connections: one half.
 	inputQuotaDivisor = 2
-	// inputCheckInterval is how often a connection that waits for memory is checked for a disconnect.
-	inputCheckInterval = clientCheckInterval
 	// inputMaxWait is how long a connection waits for memory before its message is rejected. The wait is short: a client
 	// that leaves can't be noticed while the bytes that it sent before are not read.
 	inputMaxWait = 100 * time.Millisecond
@@ -93,7 +91,7 @@
 // Meanwhile the connection counts as having an unhandled message, which is the part that has been read. The error is
 // errInputMemoryInUse, or errClientLeft.
 func (i *connInput) reserve(size int, maxWait time.Duration) error {
-	if size <= i.memory.quota || i.mayHoldLarge || i.tryReserve(size) {
+	if i.mayHoldLarge || i.tryReserve(size) {
 		return nil
 	}
 	i.memory.waits.Add(1)
@@ -117,7 +115,7 @@
 // returns once ctx ends.
 func (i *connInput) watchWait(ctx context.Context, endWait context.CancelCauseFunc) {
 	startedAt := time.Now()
-	ticker := time.NewTicker(inputCheckInterval)
+	ticker := time.NewTicker(clientCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/transport/clients/inputmemory_test.go
+++ b/internal/transport/clients/inputmemory_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -42,17 +41,22 @@
 	return line
 }
 
+// clientWithoutMemory returns a JSON-RPC server in which another client has used up the memory for large messages, and
+// a client of it.
+func clientWithoutMemory(t *testing.T) (*JSONRPCServer, *net.TCPConn) {
+	srv, _ := jsonrpcServer(t, false)
+	srv.Input = oneLargeMessage()
+	require.True(t, srv.Input.largeMessages.TryAcquire(1))
+	return srv, serveClient(t, newListener(t, 4, srv.Serve))
+}
+
 // Guards against a close of a connection whose message is within its quota while others hold all other memory.
 func TestMessageWithinQuotaNeedsNoFreeMemory(t *testing.T) {
-	jsonRPC, _ := jsonrpcServer(t, false)
-	jsonRPC.Input = oneLargeMessage()
-	require.True(t, jsonRPC.Input.largeMessages.TryAcquire(1), "another client has used it up")
-	client := serveClient(t, newListener(t, 4, jsonRPC.Serve))
+	jsonRPC, client := clientWithoutMemory(t)
 	transporttest.Write(t, client, aliveLine("1", 20<<10))
 	require.Contains(t, readLine(t, client), `"pass":true`)
 
-	restServer := &RESTServer{Drain: DrainPolicy{Ready: func() bool { return true }}, Input: jsonRPC.Input, Log: slog.New(slog.DiscardHandler)}
-	client = serveClient(t, newListener(t, 4, restServer.Serve))
+	client = serveClient(t, newListener(t, 4, restServer(t, jsonRPC.Input).Serve))
 	transporttest.Write(t, client, "GET /v1/info HTTP/1.1\r\nHost: a\r\nX-Padding: "+strings.Repeat("x", 10<<10)+"\r\n\r\n")
 	require.Contains(t, readLine(t, client), "200")
 }
@@ -92,10 +96,7 @@
 
 // A client that leaves while its message waits for memory is noticed, and its open requests are withdrawn.
 func TestDisconnectIsNoticedWhileMessageWaitsForMemory(t *testing.T) {
-	srv, _ := jsonrpcServer(t, false)
-	srv.Input = oneLargeMessage()
-	require.True(t, srv.Input.largeMessages.TryAcquire(1))
-	client := serveClient(t, newListener(t, 4, srv.Serve))
+	srv, client := clientWithoutMemory(t)
 	transporttest.Write(t, client, lookRequest(1)+strings.Repeat(" ", largeMessage))
 	require.Eventually(t, func() bool { return srv.Input.waiting.Load() == 1 }, transporttest.WaitTimeout, time.Millisecond)
 	require.EqualValues(t, 1, srv.Dispatcher.OpenRequests())
@@ -105,10 +106,7 @@
 
 // A message that waits for too long is rejected under its id, and neither its connection nor an open request is lost.
 func TestMessageWithoutMemoryIsRejected(t *testing.T) {
-	srv, _ := jsonrpcServer(t, false)
-	srv.Input = oneLargeMessage()
-	require.True(t, srv.Input.largeMessages.TryAcquire(1))
-	client := serveClient(t, newListener(t, 4, srv.Serve))
+	srv, client := clientWithoutMemory(t)
 	transporttest.Write(t, client, lookRequest(1)+`{"jsonrpc":"2.0","id":2,"params":"`+strings.Repeat("x", largeMessage)+"\"}\n")
 	require.Contains(t, readLine(t, client), `"id":2,"error":{"code":-32000`)
 	transporttest.Write(t, client, aliveLine("3", 0))
@@ -119,10 +117,7 @@
 
 // A rejected message with the id of an open request gets one error, and the open request is withdrawn, as with any message.
 func TestRejectedMessageWithIDInUse(t *testing.T) {
-	srv, _ := jsonrpcServer(t, false)
-	srv.Input = oneLargeMessage()
-	require.True(t, srv.Input.largeMessages.TryAcquire(1))
-	client := serveClient(t, newListener(t, 4, srv.Serve))
+	srv, client := clientWithoutMemory(t)
 	transporttest.Write(t, client, lookRequest(1)+`{"jsonrpc":"2.0","id":1,"params":"`+strings.Repeat("x", largeMessage)+"\"}\n")
 	require.Contains(t, readLine(t, client), `"id":1,"error":{"code":-32600`)
 	srv.Dispatcher.DescribeEndpoints()
@@ -131,10 +126,7 @@
 
 // Where a message without an id finds no memory, and no request is open beside it, it is dropped like any that is overdue.
 func TestMessageWithoutIDWaitsUntilItIsOverdue(t *testing.T) {
-	srv, _ := jsonrpcServer(t, false)
-	srv.Input = oneLargeMessage()
-	require.True(t, srv.Input.largeMessages.TryAcquire(1))
-	client := serveClient(t, newListener(t, 4, srv.Serve))
+	srv, client := clientWithoutMemory(t)
 	transporttest.Write(t, client, strings.Repeat(" ", largeMessage))
 	_, err := client.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
@@ -143,10 +135,9 @@
 
 // A REST request without memory is rejected with a time to come back.
 func TestRESTRequestWithoutMemoryIsRejected(t *testing.T) {
-	jsonRPC, _ := jsonrpcServer(t, false)
-	restServer := &RESTServer{Dispatcher: jsonRPC.Dispatcher, Input: oneLargeMessage(), Log: slog.New(slog.DiscardHandler)}
-	require.True(t, restServer.Input.largeMessages.TryAcquire(1))
-	client := serveClient(t, newListener(t, 4, restServer.Serve))
+	srv := restServer(t, oneLargeMessage())
+	require.True(t, srv.Input.largeMessages.TryAcquire(1))
+	client := serveClient(t, newListener(t, 4, srv.Serve))
 	transporttest.Write(t, client, "POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 190000\r\n\r\n"+strings.Repeat("x", 190_000))
 	answer, err := io.ReadAll(client)
 	require.NoError(t, err, "closed and not reset")
@@ -179,8 +170,8 @@
 // A request's head and the chunks of its body count as held; a client that stops after them is closed like any other
 // that stops half way.
 func TestHalfRequestInChunksIsHeldAndOverdue(t *testing.T) {
-	restServer := &RESTServer{Drain: DrainPolicy{Ready: func() bool { return true }}, Input: NewInputMemory(4<<20, 4, rest.MaxRequestBytes), Log: slog.New(slog.DiscardHandler)}
-	client := serveClient(t, newListener(t, 4, restServer.Serve))
+	srv := restServer(t, NewInputMemory(4<<20, 4, rest.MaxRequestBytes))
+	client := serveClient(t, newListener(t, 4, srv.Serve))
 	transporttest.Write(t, client, "GET /v1/info HTTP/1.1\r\nHost: a\r\n\r\n")
 	reader := bufio.NewReader(client)
 	line, err := reader.ReadString('\n')
--- a/internal/transport/clients/jsonrpc_test.go
+++ b/internal/transport/clients/jsonrpc_test.go
@@ -29,6 +29,12 @@
 		Input: NewInputMemory(4<<20, 4, jsonrpc.MaxLineBytes), Output: NewOutputMemory(4<<20, 4), Log: slog.New(slog.DiscardHandler)}, e
 }
 
+// restServer returns a REST server with a dispatcher and without a record, for requests that need none.
+func restServer(t *testing.T, input *InputMemory) *RESTServer {
+	base, _ := jsonrpcServer(t, false)
+	return &RESTServer{Dispatcher: base.Dispatcher, Drain: base.Drain, Input: input, Log: base.Log}
+}
+
 // newListener returns a listener for connections that the test passes to ServeConn; no test connects to its own address.
 func newListener(t *testing.T, limit int, serve func(context.Context, *listener.Conn)) *listener.Listener {
 	l, err := listener.Listen("127.0.0.1:0", limit, slog.New(slog.DiscardHandler), serve)
--- a/internal/transport/clients/outputmemory.go
+++ b/internal/transport/clients/outputmemory.go
@@ -83,8 +83,9 @@
 
 // evict closes a connection. The caller holds m.mu.
 func (m *OutputMemory) evict(victim *connOutput) {
-	victim.clear()
-	victim.isEvicted = true
+	m.used -= victim.bytes
+	victim.bytes, victim.isEvicted = 0, true
+	delete(m.holding, victim)
 	m.evicted++
 	victim.disconnect()
 }
@@ -109,10 +110,3 @@
 		delete(o.memory.holding, o)
 	}
 }
-
-// clear gives everything back. The caller holds the memory's lock.
-func (o *connOutput) clear() {
-	o.memory.used -= o.bytes
-	o.bytes = 0
-	delete(o.memory.holding, o)
-}
--- a/internal/transport/clients/rest.go
+++ b/internal/transport/clients/rest.go
@@ -79,12 +79,13 @@
 	*listener.Conn
 	buffered   *netconn.Conn
 	input      *connInput      // memory for requests that are incomplete or unhandled
-	statements *memory.Account // for the statements of the client's queries; nil before the first
+	statements *memory.Account // for the statements of the client's queries
 }
 
 // Serve serves one client until it disconnects or ctx ends. It answers one request after the other.
 func (s *RESTServer) Serve(ctx context.Context, listenerConn *listener.Conn) {
-	c := &restConn{Conn: listenerConn, buffered: netconn.New(listenerConn, netconn.SmallBuffer), input: s.Input.forConn(listenerConn)}
+	c := &restConn{Conn: listenerConn, buffered: netconn.New(listenerConn, netconn.SmallBuffer), input: s.Input.forConn(listenerConn),
+		statements: s.Dispatcher.NewStatementOwner()}
 	stopInterrupt := context.AfterFunc(ctx, func() { netconn.InterruptRead(c) })
 	defer stopInterrupt()
 	parser := rest.NewRequestParser()
--- a/internal/transport/clients/restquery.go
+++ b/internal/transport/clients/restquery.go
@@ -23,8 +23,8 @@
 const (
 	// pageSize is the maximum size of a result page's text, in bytes.
 	pageSize = 6000
-	// clientCheckInterval is how often a connection that waits for the first answer to its statement is
-	// checked for a disconnect: nothing may be started for a client that left more than 100 ms ago.
+	// clientCheckInterval is how often a connection that waits for memory, or for the first answer to its
+	// statement, is checked for a disconnect: nothing may be started for a client that left more than 100 ms ago.
 	clientCheckInterval = 25 * time.Millisecond
 	// spoolRetryInterval is how often the write of a page is retried while the spool has no space.
 	spoolRetryInterval = 20 * time.Millisecond
--- a/internal/transport/clients/reststatement.go
+++ b/internal/transport/clients/reststatement.go
@@ -60,7 +60,7 @@
 		return rejection(row.ID, s.retryAfter(err))
 	}
 	defer q.watchClient(c.Conn)()
-	q.submit(classIndex, m, deadline, s.statementOwner(c))
+	q.submit(classIndex, m, deadline, c.statements)
 	c.input.release() // the dispatcher counts the statement
 	row.State = store.StateRunning
 	return s.awaitEnd(ctx, &row, m.Host, 0, true)
@@ -120,14 +120,6 @@
 	return err
 }
 
-// statementOwner returns the account for the statements of a connection's queries.
-func (s *RESTServer) statementOwner(c *restConn) *memory.Account {
-	if c.statements == nil {
-		c.statements = s.Dispatcher.NewStatementOwner()
-	}
-	return c.statements
-}
-
 // submit submits the query to the dispatcher, unless it has been cancelled.
 func (q *restQuery) submit(classIndex int, m rest.SubmitRequest, deadline time.Time, owner *memory.Account) {
 	query := routing.Query{StatementOwner: owner, CallID: q.id, Class: classIndex, Statement: m.Statement, Deadline: deadline, EstimatedWork: m.EstimatedWorkMS,
--- a/internal/transport/listener/conn.go
+++ b/internal/transport/listener/conn.go
@@ -122,8 +122,8 @@
 	return c.openRequestCount == 0 && !c.partialSince.IsZero() && time.Since(c.partialSince) >= messageTimeout
 }
 
-// EvictStalledSenders evicts up to count connections of the same listener that hold extra memory for a message that
-// its client does not go on with.
+// EvictStalledSenders evicts up to count connections of the same listener that exceed their quota of memory for a message
+// that its client does not go on with.
 func (c *Conn) EvictStalledSenders(count int) { c.listener.evictStalledSenders(count) }
 
 // CountDrainRejection counts a request that was rejected because of a drain.
@@ -182,8 +182,7 @@
 	return c.closing, c.evicted
 }
 
-// IsClosing reports whether this side has begun to close the connection.
-func (c *Conn) IsClosing() bool {
+func (c *Conn) isClosing() bool {
 	closing, _ := c.closeState()
 	return closing
 }
@@ -217,7 +216,7 @@
 			return nil, readAt, err
 		case !readAt.Before(c.closeDeadline(idleTimeout)) && c.claimClose(closeReasonTimeout):
 			return nil, readAt, ErrClosing
-		case c.IsClosing():
+		case c.isClosing():
 			return nil, readAt, ErrClosing
 		}
 	}
@@ -225,7 +224,7 @@
 
 // WakeReader makes the connection's reader check again whether to close.
 func (c *Conn) WakeReader() {
-	if !c.IsClosing() {
+	if !c.isClosing() {
 		_ = c.SetReadDeadline(time.Now())
 	}
 }
@@ -255,6 +254,7 @@
 	return c.idleSinceLocked()
 }
 
+// idleSinceLocked does the same as idleSince. The caller holds c.mu.
 func (c *Conn) idleSinceLocked() (at time.Time, ok bool) {
 	at = c.lastActiveAt
 	if c.lastReadAt.After(at) {
@@ -263,7 +263,7 @@
 	return at, c.openRequestCount == 0 && c.unhandledCount == 0 && !c.closing
 }
 
-// stalledSince returns the time since when a connection that holds extra memory is idle. ok is false for any other
+// stalledSince returns the time since when a connection that exceeds its quota of memory is idle. ok is false for any other
 // connection.
 func (c *Conn) stalledSince() (at time.Time, ok bool) {
 	c.mu.Lock()
